--- /dev/null
+++ b/gradefront/__main__.py
@@ -0,0 +1,81 @@
+"""Start-up, signals, and the counters on request and at exit."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import signal
+import sys
+from typing import cast
+
+from twisted.internet import reactor as twisted_reactor
+
+from milletdeal import Balancer
+
+from .config import Config, ConfigError, load
+from .core.desk import Desk
+from .net.asker import LoadAsker
+from .net.boxleg import PlatformCaller
+from .net.boxlist import BoxList, ListWatch
+from .net.front import PlatformFront
+from .net.reactor import Clock, Driver, Reactor
+
+log = logging.getLogger("gradefront")
+
+
+class Relay:
+    """One relay: the desk, the platform's front, and their way in and out of service."""
+
+    def __init__(self, config: Config, reactor: Reactor) -> None:
+        clock = Clock()
+        self.reactor = reactor
+        self.driver = Driver(reactor, clock)
+        self.desk = desk = Desk(Balancer(config.settings, config.seed), config.settings, clock,
+                                self.driver.poke, config.tells_delay)
+        self.driver.desk = desk
+        self.box_list = BoxList(config, desk)
+        desk.watcher = ListWatch(reactor, desk, self.box_list, config.discovery)
+        desk.asker = LoadAsker(reactor, desk, self.box_list.address)
+        self.box_list.take(config.known, whole=True)
+        caller = PlatformCaller(reactor, self.box_list.address, clock)
+        self.front = PlatformFront(config, desk, caller, lambda: self.box_list.heard)
+        self.port = reactor.listenTCP(config.listen[1], self.front, 512, config.listen[0])
+
+    def show(self) -> None:
+        """The counters, as one log line."""
+        levels = {"connections_now": self.front.open, "visits_now": len(self.desk.visits)}
+        log.info("counters %s", self.desk.tally.line(**levels))
+
+    def leave(self) -> None:
+        """A planned restart."""
+        self.desk.leave(self._stop)
+
+    def _stop(self) -> None:
+        self.reactor.callLater(0.15, self.reactor.stop)  # time for the last answers to leave
+
+
+def main() -> int:
+    """Serve until told to stop; 0 then, 2 where the configuration makes no sense."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
+                        format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    try:
+        config = load(os.environ)
+    except ConfigError as error:
+        print(f"gradefront: {error}", file=sys.stderr)
+        return 2
+    reactor = cast(Reactor, twisted_reactor)
+    relay = Relay(config, reactor)
+    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(relay.leave))
+    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(relay.leave))
+    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(relay.show))
+    log.info("relay %s listens on %s:%d", config.name, *config.listen)
+    gc.collect()
+    gc.freeze()  # start-up objects stay; collecting them again and again would cost scarce CPU
+    reactor.run(installSignalHandlers=False)
+    relay.show()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gradefront/config.py
@@ -0,0 +1,96 @@
+"""What a relay is told at its start: environment variables and a JSON file."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from milletdeal import interface as i
+from milletdeal import wire
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A setting that is missing or makes no sense; its text names it."""
+
+
+@dataclass(frozen=True)
+class Config:
+    """One relay's configuration."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    settings: i.Settings
+    class_names: tuple[str, ...]
+    zones: tuple[str, ...]
+    models: tuple[str, ...]
+    tenants: tuple[str, ...]
+    report_names: tuple[str, ...]
+    tells_delay: bool
+    known: dict[str, Any] = field(default_factory=dict)
+
+
+def address(text: object, what: str) -> Address:
+    """`HOST:PORT`, with an IPv6 host in brackets."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{what}: '{text}' is not HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read the file that LB_CONFIG names; the other variables go before what it says."""
+    if "LB_CONFIG" not in environment:
+        raise ConfigError("LB_CONFIG: not set; it names the relay's JSON file")
+    path = Path(environment["LB_CONFIG"])
+    try:
+        told = json.loads(path.read_bytes())
+    except OSError as error:
+        raise ConfigError(f"LB_CONFIG: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"LB_CONFIG: {path}: not JSON: {error}") from None
+    if not isinstance(told, dict) or not isinstance(told.get("settings"), dict):
+        raise ConfigError("settings: missing")
+    return parse(told, environment)
+
+
+def parse(told: dict[str, Any], environment: Mapping[str, str]) -> Config:
+    """The configuration from the file's object."""
+    info = told["settings"]
+    try:
+        settings, report_names = wire.settings(info)
+    except (wire.WireError, ValueError, TypeError) as error:
+        raise ConfigError(f"settings: {error}") from None
+
+    def names(key: str) -> tuple[str, ...]:
+        return tuple(str(e.get("name") if isinstance(e, dict) else e) for e in info.get(key) or ())
+
+    limits = told.get("limits") or {}
+    family = info.get("familyInfo") or {}
+    known = told.get("known")
+    return Config(
+        name=environment.get("LB_NAME") or str(told.get("name", "relay")),
+        listen=address(environment.get("LB_LISTEN") or told.get("listen"), "LB_LISTEN"),
+        discovery=address(environment.get("LB_DISCOVERY") or told.get("discovery"), "LB_DISCOVERY"),
+        seed=_seed(told.get("seed", 0)),
+        sockets=int(limits.get("sockets", 1024)),
+        settings=settings, class_names=names("grades"), zones=names("zones"), models=names("models"),
+        tenants=names("parties"), report_names=report_names,
+        tells_delay=bool(family.get("tellsDelay", False)),
+        known=known if isinstance(known, dict) else {})
+
+
+def _seed(value: object) -> int:
+    if isinstance(value, int):
+        return value
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError(f"seed: '{value}' is neither a number nor hex digits") from None
--- /dev/null
+++ b/gradefront/core/__init__.py
@@ -0,0 +1,1 @@
+"""The core: visits, their attempts, deadlines and answers. It knows no wire; fronts and legs plug in."""
--- /dev/null
+++ b/gradefront/core/desk.py
@@ -0,0 +1,390 @@
+"""The desk: gathers what is ready, hands it to the decision module in one go, carries out what came back.
+
+It owns every visit's number, attempts, deadline and one final answer. It decides nothing itself.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from functools import partial
+from itertools import count
+
+from milletdeal import interface as i
+
+from .ports import BoxAsker, BoxCaller, Call, CarerSide, Decider, Ending, ListWatcher
+from .pulse import PULSE_US, Pulse
+from .shortfall import Cause, Reach, Shortfall
+from .tally import Tally
+from .visit import Attempt, Stage, Visit
+from .wheel import Timer, Wheel
+
+log = logging.getLogger("gradefront.desk")
+
+ANSWER_MARGIN_US = 40_000  # the answer must travel, and be sent by a busy relay, before the carer gives up
+NET_US = 12_000  # the safety net's time after the deadline that the module is told; within the margin
+SILENT_US = 5_000_000  # a push box that owes a reply this long counts as gone silent (7 s are allowed)
+DEAD_LINE_US = 120_000_000  # nothing either way for so long: the carer's device is gone
+BROUGHT_US = 38_000_000  # patience with a visit that stood before the start (40 s are allowed)
+BROUGHT_TRIES = 4
+BROUGHT_WAIT_US = 500_000
+LEAVE_AFTER_US = 450_000  # on leaving: the front still sends carers here for 0.2 to 0.4 s
+LEAVE_BY_US = 2_700_000  # on leaving: the last carer is told by then
+LEAVE_STEP_US = 50_000
+GONE_BY_US = 3_200_000  # on leaving: the process ends by then; SIGKILL may come at 3.7 s
+
+
+class Desk:
+    """One relay's visits, round one decision module."""
+
+    def __init__(self, decider: Decider, settings: i.Settings, clock: Callable[[], int],
+                 poke: Callable[[], None], tells_delay: bool = True) -> None:
+        self.decider = decider
+        self.settings = settings
+        self.clock = clock
+        self.poke = poke  # asks the platform for a turn soon
+        self.tally = Tally()
+        self.wheel = Wheel(clock())
+        self.inbox: list[i.Event] = []
+        self.visits: dict[int, Visit] = {}
+        self.numbers = count(1)
+        self.boxes: dict[str, i.ServerState] = {}
+        self.asker: BoxAsker | None = None
+        self.watcher: ListWatcher | None = None
+        self.leaving = False
+        aims = [c.message_aim_us for c in settings.classes if c.message_aim_us]
+        self.pulse = Pulse(min(aims)) if aims and tells_delay else None
+        self.after(PULSE_US, self._each_second)
+
+    # ---- time and turns
+
+    def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
+        """Run `then` at the first tick after the delay."""
+        timer = self.wheel.set(self.clock() + delay_us, then)
+        self.poke()
+        return timer
+
+    def put(self, event: i.Event) -> None:
+        """Keep an event for the next turn."""
+        if not self.inbox:
+            self.poke()
+        self.inbox.append(event)
+
+    def turn(self) -> None:
+        """One turn: due timers, then all gathered events to the module, then all its actions."""
+        for then in self.wheel.turn(self.clock()):
+            try:
+                then()
+            except Exception:  # a broken timer must not stop the others
+                log.exception("a timer failed")
+        events, self.inbox = self.inbox, []
+        now, actions = self.clock(), list[i.Action]()
+        for event in events:
+            try:
+                actions += self.decider.handle(now, event)
+            except Exception:
+                self._stop(event)
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception:
+                self._stop(action)
+
+    def _stop(self, what: object) -> None:
+        """An exception stops at the visit that it came from; that visit still gets its one answer."""
+        log.exception("failed on %s", type(what).__name__)
+        self.tally.add("exceptions")
+        visit = self.visits.get(getattr(what, "request", 0))
+        if visit:
+            self.put(i.ClientGone(visit.number))
+            self._answer(visit, None)
+
+    def _carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.Start():
+                self._start(action)
+            case i.SetTimer():
+                self.wheel.set(self.clock() + action.delay_us, partial(self.put, i.TimerFired(action.timer)))
+            case i.Refuse() | i.Fail():
+                visit = self.visits.get(action.request)
+                if visit:
+                    self._answer(visit, action)
+            case i.Move():
+                visit = self.visits.get(action.request)
+                if visit:
+                    self.move(visit)
+            case i.Probe():
+                self.tally.add("probes")
+                if self.asker:
+                    self.asker.ask(action.server)
+            case i.WatchList():
+                self.tally.add("list_calls")
+                if self.watcher:
+                    self.watcher.watch()
+            case i.Log():
+                log.info("module: %s", action.text)
+
+    # ---- the box list and probes
+
+    def listed(self, update: i.ListUpdate) -> None:
+        """News of the box list."""
+        if update.whole:
+            self.boxes = {}
+        for entry in update.entries:
+            if entry.state is i.ServerState.DRAINING and self.boxes.get(entry.server) is not entry.state:
+                log.info("push box %s drains", entry.server)
+            self.boxes[entry.server] = entry.state
+        self.put(update)
+
+    def list_lost(self, why: str) -> None:
+        """A call for the list failed, or the watch on it ended."""
+        log.warning("box list lost: %s", why)
+        self.tally.add("list_errors")
+        self.put(i.ListError())
+
+    def serves(self, box: str) -> bool:
+        """Whether the box list, as last heard, lets new work go there."""
+        return self.boxes.get(box) is i.ServerState.READY
+
+    def told_load(self, box: str, result: i.Result, took_us: int, report: i.LoadReport | None) -> None:
+        """The answer to one question to a push box."""
+        if result is not i.Result.OK:
+            self.tally.add("probes_failed")
+        self.put(i.ProbeResult(box, result, took_us, report))
+
+    # ---- visits that come
+
+    def arrive(self, call: Call, carer: CarerSide, caller: BoxCaller) -> Visit:
+        """A carer's device asks to be connected."""
+        visit = self._new(call, carer, caller, max(1, call.patience_us - ANSWER_MARGIN_US))
+        self.tally.add("visits")
+        if call.came_back:
+            self.tally.add("visits_came_back")
+        visit.watch = self.wheel.set(visit.deadline_us + NET_US, partial(self._overdue, visit))
+        self.put(self._request(visit))
+        return visit
+
+    def bring_over(self, call: Call, carer: CarerSide, caller: BoxCaller, box: str) -> Visit:
+        """A visit that stood at `box` before this relay started: it goes there and nowhere else."""
+        visit = self._new(call, carer, caller, BROUGHT_US, box)
+        self.tally.add("visits_brought")
+        visit.watch = self.after(BROUGHT_US, partial(self._overdue, visit))
+        self._reach_out(visit, box, visit.deadline_us)
+        return visit
+
+    def _new(self, call: Call, carer: CarerSide, caller: BoxCaller, patience_us: int,
+             pinned: str = "") -> Visit:
+        now = self.clock()
+        visit = Visit(next(self.numbers), call, carer, caller, now, now + patience_us, pinned)
+        self.visits[visit.number] = visit
+        return visit
+
+    def _request(self, visit: Visit) -> i.Request:
+        call = visit.call
+        return i.Request(visit.number, max(1, visit.deadline_us - self.clock()), call.klass, call.tenant,
+                         call.key, call.group, call.load_hint, False, call.came_back, call.is_retry)
+
+    def carer_left(self, visit: Visit, how: Ending) -> None:
+        """The carer's device ended its side. Nothing more is owed to it."""
+        if visit.stage is Stage.ENDED:
+            return
+        standing, attempt = visit.stage is Stage.STANDING, visit.attempt
+        self.tally.add("ended_by_carer" if standing else "gave_up_waiting")
+        if not standing and not visit.pinned:
+            self.put(i.ClientGone(visit.number))
+        self._over(visit)
+        if attempt:
+            attempt.close(how)
+            if standing or not visit.pinned:
+                self._tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
+
+    def _overdue(self, visit: Visit) -> None:
+        """The safety net under the module: an answer in time, whatever happened."""
+        if visit.stage in (Stage.WAITING, Stage.REACHING):
+            if visit.stage is Stage.WAITING or visit.pinned:
+                log.warning("visit %d was not answered in time; failed", visit.number)
+                self.tally.add("overdue")
+            if not visit.pinned:
+                self.put(i.ClientGone(visit.number))
+            self._answer(visit, None)
+
+    def _answer(self, visit: Visit, answer: i.Refuse | i.Fail | None) -> None:
+        """The one final answer of a visit that does not stand."""
+        if visit.stage is Stage.ENDED:
+            return
+        standing, attempt = visit.stage is Stage.STANDING, visit.attempt
+        self._over(visit)
+        if attempt:  # only where the core itself gave up: the module answers when nothing is out
+            attempt.close(Ending.ORDERLY)
+            self._tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
+        if standing:
+            visit.carer.move()
+        elif isinstance(answer, i.Refuse):
+            self.tally.add("refused")
+            visit.carer.refuse(answer.retry_after_us)
+        else:
+            self.tally.add("failed")
+            visit.carer.fail()
+
+    def _over(self, visit: Visit) -> None:
+        visit.step(Stage.ENDED)
+        visit.attempt = None
+        if visit.watch:
+            visit.watch.cancel()
+        self.visits.pop(visit.number, None)
+
+    # ---- attempts
+
+    def _start(self, start: i.Start) -> None:
+        visit = self.visits.get(start.request)
+        if visit is None or visit.stage is not Stage.WAITING or visit.attempts >= self.settings.max_attempts:
+            # Guards against a send after the end, a second copy, and one attempt too many.
+            final = visit is None or visit.stage is Stage.STANDING
+            self.put(i.Outcome(start.request, visit.attempts if visit else 0, start.server, i.Result.MOOT,
+                               final))
+            return
+        self._reach_out(visit, start.server, min(visit.deadline_us, self.clock() + start.timeout_us))
+
+    def _reach_out(self, visit: Visit, box: str, until_us: int) -> None:
+        visit.step(Stage.REACHING)
+        attempt = visit.attempt = Attempt(self, visit, box, until_us)
+        visit.attempts += 1
+        self.tally.add("attempts")
+        connect_by = until_us
+        if not visit.pinned:
+            connect_by = min(until_us, attempt.began_us + self.settings.connect_timeout_us)
+        attempt.timer = self.wheel.set(connect_by, partial(attempt.ends, Cause.SILENT))
+        attempt.leg = visit.caller.call(attempt, visit.call.parcel)
+        if attempt.over:  # it ended at once, before its leg was known here
+            attempt.leg.hang_up(Ending.ORDERLY)
+
+    def came(self, attempt: Attempt) -> None:
+        """An attempt came further: from the connect's patience to the whole attempt's."""
+        if attempt.reach is Reach.WRITING and attempt.timer:
+            attempt.timer.cancel()
+            attempt.timer = self.wheel.set(attempt.until_us, partial(attempt.ends, Cause.SILENT))
+            self.poke()
+
+    def stands(self, attempt: Attempt, receipt: object) -> None:
+        """A push box took the visit."""
+        visit = attempt.visit
+        visit.step(Stage.STANDING)
+        attempt.reach = Reach.UP
+        attempt.heard_us = now = self.clock()
+        for timer in (attempt.timer, visit.watch):
+            if timer:
+                timer.cancel()
+        if visit.pinned:
+            self.put(i.OpenConnection(self._request(visit), attempt.box))
+        else:
+            took = now - attempt.began_us
+            self.put(i.Established(visit.number, attempt.number, attempt.box, took))
+        self.tally.add("stood")
+        assert attempt.leg is not None
+        visit.carer.seat(attempt.leg, receipt)
+
+    def ends(self, attempt: Attempt, shortfall: Shortfall, how: Ending) -> None:
+        """An attempt failed, or a visit that stood ended at the push box's side."""
+        visit = attempt.visit
+        standing = visit.stage is Stage.STANDING
+        attempt.close(how)
+        self.tally.add(f"ended: {shortfall}")
+        if standing:
+            self._over(visit)
+            self._tell_end(attempt, shortfall, True)
+            visit.carer.end(how)
+        elif visit.pinned:
+            self._once_more(visit, shortfall)
+        else:
+            visit.step(Stage.WAITING)
+            visit.attempt = None
+            self._tell_end(attempt, shortfall, False)
+
+    def _once_more(self, visit: Visit, shortfall: Shortfall) -> None:
+        """A visit from before the start may go to its own push box only, up to the limit."""
+        visit.step(Stage.WAITING)
+        visit.attempt = None
+        if visit.attempts >= min(BROUGHT_TRIES, self.settings.max_attempts):
+            log.warning("visit %d could not go on at push box %s: %s", visit.number, visit.pinned, shortfall)
+            self._answer(visit, None)
+            return
+
+        def again() -> None:
+            if visit.stage is Stage.WAITING:
+                self._reach_out(visit, visit.pinned, visit.deadline_us)
+        self.after(BROUGHT_WAIT_US << visit.attempts, again)
+
+    def _tell_end(self, attempt: Attempt, shortfall: Shortfall, final: bool) -> None:
+        took = self.clock() - attempt.began_us
+        self.put(i.Outcome(attempt.visit.number, attempt.number, attempt.box, shortfall.result, final, took))
+
+    # ---- visits that stand
+
+    def move(self, visit: Visit) -> None:
+        """Tell a carer to come again, and end both sides."""
+        attempt = visit.attempt
+        if visit.stage is not Stage.STANDING or attempt is None:
+            return
+        self._over(visit)
+        self.tally.add("moved")
+        visit.carer.move()
+        attempt.close(Ending.ORDERLY)
+        self._tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
+
+    def told_visit_load(self, attempt: Attempt, load: float) -> None:
+        """A push box told a visit's load, in microseconds of work a second."""
+        self.put(i.LoadNote(attempt.visit.number, attempt.box, load))
+
+    def replied(self, box: str, visit: int, took_us: int) -> None:
+        """A message came back from a push box."""
+        if self.pulse:
+            self.pulse.add(box, visit, took_us)
+
+    def _each_second(self) -> None:
+        self.wheel.set(self.clock() + PULSE_US, self._each_second)
+        for number, box, delay in self.pulse.look() if self.pulse else ():
+            self.put(i.DelayNote(number, box, delay))
+        now = self.clock()
+        for visit in list(self.visits.values()):
+            attempt = visit.attempt
+            if visit.stage is not Stage.STANDING or attempt is None:
+                continue
+            since = max(attempt.heard_us, attempt.asked[0]) if attempt.asked else now
+            if now - since > SILENT_US:  # guards against a vanished machine, which resets nothing
+                log.warning("push box %s has gone silent; visit %d moves", attempt.box, visit.number)
+                self.tally.add("moved_from_silent")
+                self._over(visit)
+                visit.carer.move()
+                attempt.close(Ending.BROKEN)
+                self._tell_end(attempt, Shortfall(Reach.UP, Cause.SILENT), True)
+            elif now - max(attempt.heard_us, attempt.asked[-1] if attempt.asked else 0) > DEAD_LINE_US:
+                self.move(visit)
+
+    # ---- leaving
+
+    def leave(self, done: Callable[[], None]) -> None:
+        """The relay is to stop: answer on, tell what stands to move, spread over the time there is."""
+        if self.leaving:
+            return
+        self.leaving = True
+        began = self.clock()
+        log.info("leaving: %d visits to be told", len(self.visits))
+        self.after(LEAVE_AFTER_US, partial(self._leave_some, began))
+        self.after(GONE_BY_US, partial(self._gone, done))
+
+    def _leave_some(self, began_us: int) -> None:
+        standing = [v for v in self.visits.values() if v.stage is Stage.STANDING]
+        left = max(1, (began_us + LEAVE_BY_US - self.clock()) // LEAVE_STEP_US)
+        for visit in standing[:-(-len(standing) // left)]:
+            self.move(visit)
+        if self.clock() < began_us + GONE_BY_US:
+            self.wheel.set(self.clock() + LEAVE_STEP_US, partial(self._leave_some, began_us))
+
+    def _gone(self, done: Callable[[], None]) -> None:
+        """The last moment: whoever still waits gets the answer that this relay won't give later."""
+        for visit in list(self.visits.values()):
+            if visit.stage is Stage.STANDING:
+                self.move(visit)
+            else:
+                self._answer(visit, i.Refuse(visit.number))
+        done()
--- /dev/null
+++ b/gradefront/core/ports.py
@@ -0,0 +1,88 @@
+"""The ports at which fronts, legs to push boxes and the box list plug into the core."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from milletdeal.interface import Action, Event
+
+if TYPE_CHECKING:
+    from .visit import Attempt
+
+
+class Ending(Enum):
+    """How one side of a visit ended, so that the other can be ended in the same way."""
+
+    ORDERLY = "orderly"
+    BROKEN = "broken"
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """What a carer's device asks for. `parcel` is the front's own; the core hands it on unread."""
+
+    patience_us: int
+    parcel: object
+    klass: int = 0
+    tenant: int = 0
+    key: str = ""
+    group: str = ""
+    load_hint: float = 0.0
+    came_back: bool = False
+    is_retry: bool = False
+
+
+class BoxLeg(Protocol):
+    """One attempt's way to its push box."""
+
+    def hang_up(self, how: Ending) -> None:
+        """End it; nothing that comes later counts."""
+
+
+class CarerSide(Protocol):
+    """One visit's way to its carer. Each visit gets exactly one of `seat`, `refuse` and `fail`."""
+
+    def seat(self, leg: BoxLeg, receipt: object) -> None:
+        """The push box took the visit: pass its receipt on, then everything, both ways."""
+
+    def refuse(self, pause_us: int) -> None:
+        """Final answer: come again after the pause (0: no advice)."""
+
+    def fail(self) -> None:
+        """Final answer that promises nothing."""
+
+    def move(self) -> None:
+        """Tell the carer to come again through the front, then end."""
+
+    def end(self, how: Ending) -> None:
+        """The push box ended a visit that stood."""
+
+
+class BoxCaller(Protocol):
+    """Reaches push boxes for one front."""
+
+    def call(self, attempt: Attempt, parcel: object) -> BoxLeg:
+        """Begin the attempt; how it goes is told to `attempt`."""
+
+
+class BoxAsker(Protocol):
+    """Asks a push box for its load; the desk's `told_load` gets the answer."""
+
+    def ask(self, box: str) -> None:
+        """Ask once."""
+
+
+class ListWatcher(Protocol):
+    """Watches the box list; the desk's `listed` and `list_lost` get the news."""
+
+    def watch(self) -> None:
+        """Ask for the changes since the newest list known, from now on."""
+
+
+class Decider(Protocol):
+    """The decision module, as the desk uses it."""
+
+    def handle(self, now_us: int, event: Event) -> list[Action]:
+        """Take one event and return what to do."""
--- /dev/null
+++ b/gradefront/core/visit.py
@@ -0,0 +1,131 @@
+"""A visit's life as an explicit state machine, and the attempts that it makes at push boxes."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .ports import BoxCaller, BoxLeg, Call, CarerSide, Ending
+from .shortfall import Cause, Reach, Shortfall
+from .wheel import Timer
+
+if TYPE_CHECKING:
+    from .desk import Desk
+
+
+class Stage(Enum):
+    """Where a visit stands."""
+
+    WAITING = "waiting"  # the decision module has it, nothing is out
+    REACHING = "reaching"  # one attempt is out
+    STANDING = "standing"  # a push box serves it
+    ENDED = "ended"  # answered and over
+
+
+#: The steps that a visit may take. Guards against a second answer or a second copy: any other step raises.
+STEPS: dict[Stage, frozenset[Stage]] = {
+    Stage.WAITING: frozenset({Stage.REACHING, Stage.ENDED}),
+    Stage.REACHING: frozenset({Stage.WAITING, Stage.STANDING, Stage.ENDED}),
+    Stage.STANDING: frozenset({Stage.ENDED}),
+    Stage.ENDED: frozenset(),
+}
+
+
+class WrongStep(Exception):
+    """A step that no visit takes; it stops that visit, not the relay."""
+
+
+class Visit:
+    """One item that a carer's device brought: its number, its deadline, its one answer."""
+
+    __slots__ = ("number", "call", "carer", "caller", "deadline_us", "stage", "attempts", "attempt",
+                 "pinned", "watch", "came_us")
+
+    def __init__(self, number: int, call: Call, carer: CarerSide, caller: BoxCaller, now_us: int,
+                 deadline_us: int, pinned: str = "") -> None:
+        self.number = number
+        self.call = call
+        self.carer = carer
+        self.caller = caller
+        self.came_us = now_us
+        self.deadline_us = deadline_us
+        self.stage = Stage.WAITING
+        self.attempts = 0  # attempts made so far; the next one's number
+        self.attempt: Attempt | None = None  # the one that is out, or that stands
+        self.pinned = pinned  # the one push box that a visit from before the start may go to
+        self.watch: Timer | None = None
+
+    def step(self, to: Stage) -> None:
+        """Take a legal step, or raise."""
+        if to not in STEPS[self.stage]:
+            raise WrongStep(f"visit {self.number}: {self.stage.value} to {to.value}")
+        self.stage = to
+
+
+class Attempt:
+    """One attempt at a push box. A leg tells it how far it came; once over, it hears nothing more."""
+
+    __slots__ = ("desk", "visit", "number", "box", "reach", "began_us", "until_us", "timer", "leg", "over",
+                 "asked", "heard_us")
+
+    def __init__(self, desk: Desk, visit: Visit, box: str, until_us: int) -> None:
+        self.desk = desk
+        self.visit = visit
+        self.number = visit.attempts
+        self.box = box
+        self.reach = Reach.CONNECTING
+        self.began_us = self.heard_us = desk.clock()
+        self.until_us = until_us
+        self.timer: Timer | None = None
+        self.leg: BoxLeg | None = None
+        self.over = False
+        self.asked: deque[int] = deque(maxlen=16)  # when messages went to the push box that await a reply
+
+    def may_send(self) -> bool:
+        """Whether the request may still leave. Guards against a late connect that delivers new work to a
+        push box that the relay has meanwhile been told drains or is gone."""
+        return not self.over and (bool(self.visit.pinned) or self.desk.serves(self.box))
+
+    def left_us(self) -> int:
+        """How long this relay will still wait for the push box's answer."""
+        return max(0, self.until_us - self.desk.clock())
+
+    def came(self, reach: Reach) -> None:
+        """The leg has come this far."""
+        if not self.over and reach > self.reach:
+            self.reach = reach
+            self.desk.came(self)
+
+    def stands(self, receipt: object) -> None:
+        """The push box took the visit; `receipt` goes to the carer as the box made it."""
+        if not self.over:
+            self.desk.stands(self, receipt)
+
+    def ends(self, cause: Cause, how: Ending = Ending.ORDERLY) -> None:
+        """The attempt, or the visit that it made stand, ended at the push box's side."""
+        if not self.over:
+            self.desk.ends(self, Shortfall(self.reach, cause), how)
+
+    def asked_box(self) -> None:
+        """The carer's device sent a message that the push box is to answer."""
+        self.asked.append(self.desk.clock())
+
+    def heard_box(self) -> None:
+        """The push box sent a message."""
+        self.heard_us = now = self.desk.clock()
+        if self.asked:
+            self.desk.replied(self.box, self.visit.number, now - self.asked.popleft())
+
+    def told_load(self, load: float) -> None:
+        """The push box told what load this visit is now."""
+        if not self.over:
+            self.desk.told_visit_load(self, load)
+
+    def close(self, how: Ending) -> None:
+        """End it from this side."""
+        self.over = True
+        if self.timer:
+            self.timer.cancel()
+        if self.leg:
+            self.leg.hang_up(how)
--- /dev/null
+++ b/gradefront/core/wheel.py
@@ -0,0 +1,67 @@
+"""The timer wheel: all of the relay's timers, as coarse ticks."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+TICK_US = 4_000  # as coarse as the shortest waits (a few tens of ms) allow
+SLOTS = 1_024  # a turn of about 4 s; longer timers go round
+
+
+class Timer:
+    """One timer; `cancel` may be called at any time."""
+
+    __slots__ = ("tick", "then")
+
+    def __init__(self, tick: int, then: Callable[[], None]) -> None:
+        self.tick = tick
+        self.then: Callable[[], None] | None = then
+
+    def cancel(self) -> None:
+        """The timer will not run; its place on the wheel is cleared when its turn comes."""
+        self.then = None
+
+
+class Wheel:
+    """A hashed wheel. A timer never runs early, and at most a tick late when the wheel is turned in time."""
+
+    def __init__(self, now_us: int) -> None:
+        self.tick = now_us // TICK_US  # the last tick that has been run
+        self.slots: list[list[Timer]] = [[] for _ in range(SLOTS)]
+        self.taken = 0  # bit mask of the slots that hold timers
+
+    def set(self, at_us: int, then: Callable[[], None]) -> Timer:
+        """Run `then` at the first tick at or after `at_us`."""
+        tick = max(-(-at_us // TICK_US), self.tick + 1)
+        timer = Timer(tick, then)
+        self.slots[tick % SLOTS].append(timer)
+        self.taken |= 1 << tick % SLOTS
+        return timer
+
+    def next_due(self) -> int | None:
+        """When to turn the wheel next, in us; for a timer of a later round, when to look again."""
+        if not self.taken:
+            return None
+        start = (self.tick + 1) % SLOTS
+        ahead = self.taken >> start
+        if ahead:
+            gap = (ahead & -ahead).bit_length() - 1
+        else:
+            gap = SLOTS - start + (self.taken & -self.taken).bit_length() - 1
+        return (self.tick + 1 + gap) * TICK_US
+
+    def turn(self, now_us: int) -> list[Callable[[], None]]:
+        """What has come due by `now_us`, in order of its ticks."""
+        last = now_us // TICK_US
+        due: list[Timer] = []
+        for tick in range(self.tick + 1, min(last, self.tick + SLOTS) + 1):
+            slot = tick % SLOTS
+            if not self.taken >> slot & 1:
+                continue
+            late = [t for t in self.slots[slot] if t.tick <= last]
+            due += late
+            self.slots[slot] = [t for t in self.slots[slot] if t.tick > last and t.then]
+            if not self.slots[slot]:
+                self.taken &= ~(1 << slot)
+        self.tick = max(self.tick, last)
+        return [t.then for t in sorted(due, key=lambda t: t.tick) if t.then]
--- /dev/null
+++ b/gradefront/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's wire: carers' lines, push boxes' lines, probes and the box list, on Twisted."""
--- /dev/null
+++ b/gradefront/net/asker.py
@@ -0,0 +1,152 @@
+"""Asks push boxes for their load, on one connection a box that is kept while it is of use."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+
+from gradefront.core.desk import Desk
+from milletdeal import interface as i
+
+from .base import Lines
+from .lines import read_report
+from .reactor import Reactor
+
+PATIENCE_US = 200_000  # an answer later than this says more about the push box than its figures
+KEEP_US = 12_000_000  # an unused connection is closed
+
+
+class AskLine(Lines):
+    """The lines of one connection that asks."""
+
+    def __init__(self, owner: BoxAsking) -> None:
+        self.owner = owner
+
+    def connectionMade(self) -> None:
+        """Ask at once: it was opened for that."""
+        self.wire.setTcpNoDelay(True)
+        self.say(b"STATS")
+
+    def lineReceived(self, line: bytes) -> None:
+        """An answer."""
+        self.owner.answered(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """An overlong line ends this connection."""
+        self.wire.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """The push box ended it, or it was dropped here."""
+        self.owner.lost(self)
+
+
+class BoxAsking(ClientFactory):
+    """The asking of one push box: at most one question is out."""
+
+    noisy = False
+
+    def __init__(self, asker: LoadAsker, box: str, where: tuple[str, int]) -> None:
+        self.asker = asker
+        self.box = box
+        self.where = where
+        self.line: AskLine | None = None
+        self.connector: Any = None
+        self.asked_us = 0  # when the question went out that has no answer yet; 0: none
+        self.used_us = 0
+        self.reused = False
+        self.patience = self.idle = asker.desk.after(KEEP_US, self._idle)
+
+    def ask(self) -> None:
+        """Ask, on the connection that stands or on a new one."""
+        if self.asked_us:
+            return  # guards against a second question: the answer to the first serves both
+        desk = self.asker.desk
+        self.asked_us = self.used_us = desk.clock()
+        self.patience = desk.after(PATIENCE_US, self._late)
+        self.reused = self.line is not None
+        if self.line:
+            self.line.say(b"STATS")
+        else:
+            self._connect()
+
+    def _connect(self) -> None:
+        self.connector = self.asker.reactor.connectTCP(*self.where, self, timeout=None)
+
+    def buildProtocol(self, addr: object) -> AskLine:
+        """The connection stands."""
+        self.line = AskLine(self)
+        return self.line
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        """Refused."""
+        self._done(i.Result.CONNECT_FAILED, None)
+
+    def answered(self, line: bytes) -> None:
+        """`PONG` with the figures; any other line is no success."""
+        good = line.partition(b" ")[0] == b"PONG"
+        self._done(i.Result.OK if good else i.Result.ERROR, read_report(line) if good else None)
+
+    def lost(self, line: AskLine) -> None:
+        """The connection ended."""
+        if self.line is line:
+            self.line = None
+            if self.asked_us and self.reused:
+                self.reused = False  # an idle connection that the push box closed says nothing: ask anew
+                self._connect()
+            else:
+                self._done(i.Result.RESET, None)
+
+    def _late(self) -> None:
+        if self.asked_us:
+            self._done(i.Result.TIMEOUT if self.line else i.Result.CONNECT_FAILED, None)
+            self.drop()  # an answer that comes later must not be taken for the next one's
+
+    def _done(self, result: i.Result, report: i.LoadReport | None) -> None:
+        if self.asked_us:
+            desk = self.asker.desk
+            took, self.asked_us = desk.clock() - self.asked_us, 0
+            self.patience.cancel()
+            desk.told_load(self.box, result, took, report)
+
+    def drop(self) -> None:
+        """Close the connection."""
+        line, self.line = self.line, None
+        if line and line.transport:
+            line.wire.abortConnection()
+        elif self.connector is not None:
+            self.connector.disconnect()
+
+    def _idle(self) -> None:
+        now = self.asker.desk.clock()
+        if self.line and not self.asked_us and now - self.used_us > KEEP_US:
+            self.drop()
+        if self.asker.asking.get(self.box) is self:
+            self.asker.desk.after(KEEP_US, self._idle)
+
+
+class LoadAsker:
+    """Asks all push boxes."""
+
+    def __init__(self, reactor: Reactor, desk: Desk,
+                 address: Callable[[str], tuple[str, int] | None]) -> None:
+        self.reactor = reactor
+        self.desk = desk
+        self.address = address
+        self.asking: dict[str, BoxAsking] = {}
+
+    def ask(self, box: str) -> None:
+        """Ask one push box for its load."""
+        where = self.address(box)
+        known = self.asking.get(box)
+        if known and known.where != where:
+            del self.asking[box]
+            known.drop()
+            known = None
+        if where is None:
+            self.desk.told_load(box, i.Result.CONNECT_FAILED, 0, None)
+            return
+        if known is None:
+            known = self.asking[box] = BoxAsking(self, box, where)
+        known.ask()
--- /dev/null
+++ b/gradefront/net/base.py
@@ -0,0 +1,45 @@
+"""What all line protocols here share: the platform's form of a line, and a typed way to the transport."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+from twisted.internet.error import ConnectionDone
+from twisted.protocols.basic import LineReceiver
+
+from gradefront.core.ports import Ending
+
+from .lines import MAX_LINE
+
+
+class Lines(LineReceiver):
+    """Lines that end with CRLF and are at most 4 KiB long."""
+
+    MAX_LENGTH = MAX_LINE
+    delimiter = b"\r\n"
+
+    @property
+    def wire(self) -> Any:
+        """The transport."""
+        return self.transport
+
+    def say(self, line: bytes) -> None:
+        """Send a line."""
+        self.wire.write(line + b"\r\n")
+
+    def unfinished(self) -> bytes:
+        """What has come of a line that has no end yet."""
+        return cast(bytes, cast(Any, self).clearLineBuffer())
+
+    def read_bytes(self) -> None:
+        """From here on bytes, not lines."""
+        cast(Any, self).setRawMode()
+
+    def read_lines(self, rest: bytes) -> None:
+        """From here on lines again, beginning with `rest`."""
+        cast(Any, self).setLineMode(rest)
+
+
+def ending(reason: Any) -> Ending:
+    """How the other side ended its connection."""
+    return Ending.ORDERLY if reason.check(ConnectionDone) else Ending.BROKEN
--- /dev/null
+++ b/gradefront/net/boxleg.py
@@ -0,0 +1,188 @@
+"""Legs to push boxes: one connection for each attempt, which becomes the visit's when it stands."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+
+from gradefront.core.ports import BoxLeg, Ending
+from gradefront.core.shortfall import Cause, Reach
+from gradefront.core.visit import Attempt
+
+from .base import Lines, ending
+from .lines import FirstLine
+from .reactor import Reactor
+
+log = logging.getLogger("gradefront.boxleg")
+
+
+class BoxLine(Lines):
+    """The lines to and from one push box."""
+
+    def __init__(self, leg: PlatformLeg) -> None:
+        self.leg = leg
+        self.stage = 0  # 1: the first line is with the transport, 2: it has left
+
+    def connectionMade(self) -> None:
+        """Send the first line, and learn from the transport when its last byte has left."""
+        transport = self.wire
+        transport.setTcpNoDelay(True)
+        if not self.leg.attempt.may_send():
+            self.leg.attempt.ends(Cause.BROKEN)
+            transport.abortConnection()
+            return
+        self.leg.attempt.came(Reach.WRITING)
+        transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:
+        """Called as a pull producer: first to write, then when all that was written has left."""
+        transport = self.wire
+        if self.stage == 0:
+            self.stage = 1
+            self.say(self.leg.first.with_time(self.leg.attempt.left_us()))
+        elif self.stage == 1:
+            self.stage = 2
+            transport.unregisterProducer()
+            self.leg.attempt.came(Reach.SENT)
+
+    def stopProducing(self) -> None:
+        """The transport is gone; `connectionLost` tells the rest."""
+
+    def lineReceived(self, line: bytes) -> None:
+        """Guards the relay: an exception ends this connection only."""
+        try:
+            self.leg.heard(line)
+        except Exception:
+            log.exception("a push box's line failed")
+            self.wire.abortConnection()
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """An overlong line ends this connection."""
+        log.warning("push box %s sent an overlong line", self.leg.attempt.box)
+        self.wire.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Tell the leg, after what the push box sent of an unfinished line."""
+        self.leg.lost(ending(reason), self.unfinished())
+
+
+class PlatformLeg(ClientFactory):
+    """One attempt's connection to its push box."""
+
+    noisy = False
+
+    def __init__(self, attempt: Attempt, first: FirstLine, clock: Callable[[], int]) -> None:
+        self.attempt = attempt
+        self.first = first
+        self.line: BoxLine | None = None
+        self.connector: Any = None
+        self.to_carer: Callable[[bytes], None] | None = None
+        self.cause = Cause.BROKEN
+        self.gone = False
+
+    # ---- as Twisted's factory
+
+    def buildProtocol(self, addr: object) -> BoxLine:
+        """The connection stands."""
+        self.line = BoxLine(self)
+        return self.line
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        """Refused, or never came up."""
+        self.gone = True
+        self.attempt.ends(Cause.BROKEN)
+
+    # ---- what the push box says
+
+    def heard(self, line: bytes) -> None:
+        """A whole line from the push box."""
+        attempt = self.attempt
+        if attempt.over:
+            return
+        if attempt.reach < Reach.UP:
+            word = line.partition(b" ")[0]
+            if word == b"UP":
+                attempt.stands(line)
+            elif word == b"BYE":
+                self.cause = Cause.SERVED
+                attempt.stands(line)
+            elif word == b"BUSY":
+                attempt.ends(Cause.FULL)
+            elif word == b"MOVE":
+                attempt.ends(Cause.SENT_AWAY)
+            else:
+                attempt.ends(Cause.ERROR)
+            return
+        if line.startswith(b"LOAD "):
+            try:
+                attempt.told_load(float(line[5:]))
+            except ValueError:
+                log.warning("push box %s told a load that is no number", attempt.box)
+        else:
+            attempt.heard_box()
+            if line == b"MOVE":
+                self.cause = Cause.SENT_AWAY
+            elif line.partition(b" ")[0] == b"BYE":
+                self.cause = Cause.SERVED
+        if self.to_carer:
+            self.to_carer(line + b"\r\n")
+
+    def lost(self, how: Ending, rest: bytes) -> None:
+        """The connection to the push box ended."""
+        self.gone = True
+        if rest and self.to_carer and not self.attempt.over:
+            self.to_carer(rest)
+        self.attempt.ends(self.cause if how is Ending.ORDERLY else Cause.BROKEN, how)
+
+    # ---- what the carer's side says
+
+    def pass_on(self, line: bytes) -> None:
+        """A whole line from the carer's device."""
+        if self.line and self.line.transport and not self.gone:
+            self.attempt.asked_box()
+            self.line.wire.write(line + b"\r\n")
+
+    def pass_rest(self, rest: bytes) -> None:
+        """What the carer's device sent of an unfinished line before it ended."""
+        if self.line and self.line.transport and not self.gone:
+            self.line.wire.write(rest)
+
+    def hang_up(self, how: Ending) -> None:
+        """End this connection, in the way given."""
+        self.to_carer = None
+        if self.line is None:
+            if self.connector is not None and not self.gone:
+                self.gone = True
+                self.connector.disconnect()
+        elif self.line.transport and not self.gone:
+            transport = self.line.wire
+            # Guards against a push box that no longer reads: what can't be flushed is not waited for.
+            if how is Ending.BROKEN:
+                transport.abortConnection()
+            else:
+                transport.loseConnection()
+                self.attempt.desk.after(2_000_000, transport.abortConnection)
+
+
+class PlatformCaller:
+    """Reaches push boxes over the platform's lines."""
+
+    def __init__(self, reactor: Reactor, address: Callable[[str], tuple[str, int] | None],
+                 clock: Callable[[], int]) -> None:
+        self.reactor = reactor
+        self.address = address
+        self.clock = clock
+
+    def call(self, attempt: Attempt, parcel: object) -> BoxLeg:
+        """Connect and send the carer's first line."""
+        assert isinstance(parcel, FirstLine)
+        leg = PlatformLeg(attempt, parcel, self.clock)
+        where = self.address(attempt.box)
+        if where is None:  # not in the box list any more: nothing was sent
+            attempt.ends(Cause.BROKEN)
+        else:
+            leg.connector = self.reactor.connectTCP(*where, leg, timeout=None)
+        return leg
--- /dev/null
+++ b/gradefront/net/boxlist.py
@@ -0,0 +1,237 @@
+"""The box list: read from discovery's form, and watched over HTTP."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import Any
+
+from twisted.internet.protocol import ClientFactory
+
+from gradefront.config import Config
+from gradefront.core.desk import Desk
+from gradefront.core.wheel import Timer
+from milletdeal import interface as i
+
+from .base import Lines
+from .reactor import Reactor
+
+log = logging.getLogger("gradefront.boxlist")
+
+STATES = {"SERVING": i.ServerState.READY, "DRAINING": i.ServerState.DRAINING, "DELETED": i.ServerState.GONE}
+ANSWER_US = 3_500_000  # discovery fails a call that waited 3 s by itself
+SILENCE_US = 3_000_000  # an empty line comes every 2 s; told news stands after 6 s, so ask again well before
+LONGEST_OBJECT = 1 << 20  # bytes: a longer object ends the watch
+
+
+class BoxList:
+    """The push boxes by id: what the desk is told of, and the addresses that only the wire needs."""
+
+    def __init__(self, config: Config, desk: Desk) -> None:
+        self.config = config
+        self.desk = desk
+        self.revision = 0
+        self.addresses: dict[str, tuple[str, int]] = {}
+
+    @property
+    def heard(self) -> bool:
+        """Whether any push box is known."""
+        return bool(self.addresses)
+
+    def address(self, box: str) -> tuple[str, int] | None:
+        """Where a push box listens."""
+        return self.addresses.get(box)
+
+    def take(self, told: dict[str, Any], whole: bool | None = None) -> None:
+        """Take one object of discovery's form."""
+        full = bool(told.get("complete")) if whole is None else whole
+        entries = []
+        addresses = {} if full else dict(self.addresses)
+        for member in told.get("members") or ():
+            entry = self._entry(member)
+            if entry is None:
+                continue
+            entries.append(entry)
+            if entry.state is i.ServerState.GONE:
+                addresses.pop(entry.server, None)
+            else:
+                host, _, port = member["host_port"].rpartition(":")
+                addresses[entry.server] = host.strip("[]"), int(port)
+        self.addresses = addresses
+        self.revision = int(told.get("revision") or self.revision)
+        self.desk.listed(i.ListUpdate(tuple(entries), full))
+
+    def _entry(self, member: Any) -> i.ServerEntry | None:
+        """One line of the list. A line that makes no sense is left out, the others stand."""
+        try:
+            config = self.config
+            state = STATES.get(member["phase"], i.ServerState.UNKNOWN)
+            if state is not i.ServerState.GONE and not member["host_port"].rpartition(":")[2].isdigit():
+                raise ValueError("host_port")
+            return i.ServerEntry(
+                str(member["id"]), state, _place(config.zones, member.get("locality")),
+                int(member.get("cell") or 0), _place(config.models, member.get("flavor")),
+                float(member.get("size") or 1.0), int(member.get("up_since_ms") or 0) * 1000)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            log.warning("a line of the box list makes no sense: %r", error)
+            self.desk.tally.add("bad_list_lines")
+            return None
+
+
+def _place(names: tuple[str, ...], name: object) -> int:
+    return names.index(str(name)) if name in names else 0
+
+
+class WatchLine(Lines):
+    """One watch: an HTTP answer in chunks, with one JSON object a line."""
+
+    def __init__(self, call: WatchCall) -> None:
+        self.call = call
+        self.state = "status"
+        self.chunked = False
+        self.missing = 0  # bytes of the present chunk still to come
+        self.text = b""
+
+    def connectionMade(self) -> None:
+        """Ask for the changes since the revision known."""
+        box_list, (host, port) = self.call.watch.box_list, self.call.watch.where
+        transport = self.wire
+        transport.setTcpNoDelay(True)
+        transport.write(f"GET /discovery/hosts?stream=1&index={box_list.revision} HTTP/1.1\r\n"
+                        f"Host: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode())
+
+    def lineReceived(self, line: bytes) -> None:
+        """Status, headers, and the lines round chunks."""
+        try:
+            self._line(line)
+        except (ValueError, IndexError) as error:
+            self.call.over(f"not the answer of a box list: {error!r}")
+
+    def _line(self, line: bytes) -> None:
+        if self.state == "status":
+            status = line.split(b" ")[1]
+            if status != b"200":
+                self.call.over(f"status {status.decode('ascii', 'replace')}")
+            self.state = "headers"
+        elif self.state == "headers":
+            name, _, value = line.partition(b":")
+            if name.strip().lower() == b"transfer-encoding" and b"chunked" in value.lower():
+                self.chunked = True
+            if not line:
+                self.state = "size" if self.chunked else "raw"
+                if not self.chunked:
+                    self.read_bytes()
+        elif self.state == "size":
+            self.missing = int(line.partition(b";")[0], 16)
+            if self.missing == 0:
+                self.call.over("discovery ended the watch")
+            else:
+                self.state = "chunk"
+                self.read_bytes()
+        elif self.state == "chunk end":
+            self.state = "size"
+
+    def rawDataReceived(self, data: bytes) -> None:
+        """Bytes of a chunk, or of an answer that has none."""
+        if self.state == "raw":
+            self._take(data)
+            return
+        part, rest = data[:self.missing], data[self.missing:]
+        self.missing -= len(part)
+        self._take(part)
+        if self.missing == 0:
+            self.state = "chunk end"
+            self.read_lines(rest)
+
+    def _take(self, data: bytes) -> None:
+        *lines, self.text = (self.text + data).split(b"\n")
+        self.call.alive()
+        for line in lines:
+            if line.strip():
+                self.call.heard(line)
+        if len(self.text) > LONGEST_OBJECT:
+            self.call.over("an object without end")
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """An overlong line ends this watch."""
+        self.call.over("an overlong line")
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """Discovery ended the watch."""
+        self.call.over("the connection ended")
+
+
+class WatchCall(ClientFactory):
+    """One call for a watch. It ends once, with one word to the desk unless a newer call took its place."""
+
+    noisy = False
+
+    def __init__(self, watch: ListWatch) -> None:
+        self.watch = watch
+        self.line: WatchLine | None = None
+        self.ended = False
+        self.connector: Any = None
+        self.silence: Timer = watch.desk.after(ANSWER_US, self._silent)
+
+    def buildProtocol(self, addr: object) -> WatchLine:
+        """The connection stands."""
+        self.line = WatchLine(self)
+        return self.line
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        """Refused."""
+        self.over("discovery refused the connection")
+
+    def alive(self) -> None:
+        """Something came."""
+        self.silence.cancel()
+        self.silence = self.watch.desk.after(SILENCE_US, self._silent)
+
+    def _silent(self) -> None:
+        """Guards against a watch cut off without a word: news told meanwhile would stand unheard."""
+        self.over("no sign of life")
+
+    def heard(self, line: bytes) -> None:
+        """One object."""
+        try:
+            told = json.loads(line)
+            if not isinstance(told, dict):
+                raise ValueError("not an object")
+        except ValueError as error:
+            self.over(f"not JSON: {error}")
+            return
+        if not self.ended:
+            self.watch.box_list.take(told)
+
+    def over(self, why: str) -> None:
+        """End this call and tell the desk."""
+        if not self.ended:
+            self.close()
+            self.watch.desk.list_lost(why)
+
+    def close(self) -> None:
+        """End this call without a word."""
+        self.ended = True
+        self.silence.cancel()
+        if self.line and self.line.transport:
+            self.line.wire.abortConnection()
+        elif self.connector is not None:
+            self.connector.disconnect()
+
+
+class ListWatch:
+    """The desk's port to discovery."""
+
+    def __init__(self, reactor: Reactor, desk: Desk, box_list: BoxList, where: tuple[str, int]) -> None:
+        self.reactor = reactor
+        self.desk = desk
+        self.box_list = box_list
+        self.where = where
+        self.call: WatchCall | None = None
+
+    def watch(self) -> None:
+        """Ask for a watch; one that stands makes room for it."""
+        if self.call:
+            self.call.close()
+        self.call = WatchCall(self)
+        self.call.connector = self.reactor.connectTCP(*self.where, self.call, timeout=None)
--- /dev/null
+++ b/gradefront/net/reactor.py
@@ -0,0 +1,84 @@
+"""The small part of Twisted's reactor that gradefront uses, and the driver that gives the desk its turns."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from gradefront.core.desk import Desk
+
+
+class DelayedCall(Protocol):
+    """A call that is due later."""
+
+    def cancel(self) -> None:
+        """Drop it."""
+
+
+class Reactor(Protocol):
+    """Twisted's reactor, as far as it is used here."""
+
+    def callLater(self, delay: float, call: Callable[..., object], *args: Any) -> Any:
+        """Call later."""
+
+    def connectTCP(self, host: str, port: int, factory: Any, timeout: float | None = None) -> Any:
+        """Connect."""
+
+    def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
+        """Listen."""
+
+    def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8192) -> Any:
+        """Listen for datagrams."""
+
+    def callFromThread(self, call: Callable[..., object], *args: Any) -> Any:
+        """Call soon, from a signal handler or a thread, waking the loop."""
+
+    def run(self, installSignalHandlers: bool = True) -> None:
+        """Run until stopped."""
+
+    def stop(self) -> None:
+        """Stop."""
+
+
+class Clock:
+    """Unix time in microseconds that only advances, so that push boxes' start times compare with it."""
+
+    def __init__(self) -> None:
+        self.start = time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+    def __call__(self) -> int:
+        return self.start + time.monotonic_ns() // 1000
+
+
+class Driver:
+    """Gives the desk a turn when something is ready and when its wheel is due."""
+
+    def __init__(self, reactor: Reactor, clock: Callable[[], int]) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.desk: Desk | None = None
+        self.poked = False
+        self.armed: Any = None
+        self.armed_us = 0
+
+    def poke(self) -> None:
+        """Take a turn once all that is ready now has been gathered."""
+        if not self.poked:
+            self.poked = True
+            self.reactor.callLater(0, self._turn)
+
+    def _turn(self) -> None:
+        self.poked = False
+        if self.desk is None:
+            return
+        self.desk.turn()
+        due = self.desk.wheel.next_due()
+        if due is None or self.poked:
+            return
+        if self.armed is not None and self.armed.active():
+            if self.armed_us == due:
+                return
+            self.armed.cancel()
+        self.armed_us = due
+        self.armed = self.reactor.callLater(max(0, due - self.clock()) / 1e6, self._turn)
