Test the core by a model of a visit's states; add the QUIC front, off as shipped

Checked here: the core's rules hold in a hypothesis model of random steps (one answer, one attempt out, one outcome each, at most four attempts); exceptions of the module stop at the visit. Timers are tested for never being early.

--- a/gradefront/core/shortfall.py
+++ b/gradefront/core/shortfall.py
@@ -21,6 +21,7 @@
     """What ended an attempt."""
 
     BROKEN = "broken"  # refused, reset or ended without a word
+    UNREACHABLE = "unreachable"  # nothing listens there: whatever was sent was never taken
     SILENT = "silent"  # patience ran out
     FULL = "full"  # the push box turned it away, unseen
     ERROR = "error"  # the push box answered with an error
@@ -46,12 +47,15 @@
             if self.reach is Reach.UP:
                 return Result.RESET
             return Result.TIMEOUT if self.reach is Reach.SENT else Result.CONNECT_FAILED
+        if self.cause is Cause.UNREACHABLE and self.reach is Reach.UP:
+            return Result.RESET
         return _PLAIN[self.cause]
 
     def __str__(self) -> str:
         return f"{self.cause.value} while {self.reach.name.lower()}"
 
 
-_PLAIN = {Cause.FULL: Result.FULL, Cause.ERROR: Result.ERROR, Cause.SERVED: Result.OK,
+_PLAIN = {Cause.UNREACHABLE: Result.CONNECT_FAILED,
+          Cause.FULL: Result.FULL, Cause.ERROR: Result.ERROR, Cause.SERVED: Result.OK,
           Cause.SENT_AWAY: Result.CANCELLED, Cause.CALLED_OFF: Result.CANCELLED,
           Cause.NOT_TRIED: Result.MOOT}
--- /dev/null
+++ b/gradefront/quic/__init__.py
@@ -0,0 +1,1 @@
+"""The second front: QUIC connections kept with their push boxes by connection id."""
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,210 @@
+"""The core's parts and its promises to carers, without any wire."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gradefront.core.desk import ANSWER_MARGIN_US, GONE_BY_US
+from gradefront.core.ports import Call, Ending
+from gradefront.core.pulse import Pulse
+from gradefront.core.shortfall import Cause, Reach, Shortfall
+from gradefront.core.visit import Stage
+from gradefront.core.wheel import SLOTS, TICK_US, Wheel
+from milletdeal import interface as i
+
+from .helper import Bench, Carer
+
+
+def test_core_knows_no_wire() -> None:
+    allowed = {"__future__", "collections", "dataclasses", "enum", "functools", "itertools", "json",
+               "logging", "milletdeal", "statistics", "typing"}
+    for path in Path("gradefront/core").glob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Import):
+                assert {a.name.split(".")[0] for a in node.names} <= allowed, path
+            elif isinstance(node, ast.ImportFrom) and node.level == 0:
+                assert str(node.module).split(".")[0] in allowed, path
+            elif isinstance(node, ast.ImportFrom):
+                assert node.level == 1, f"{path}: reaches out of the core"
+
+
+@given(st.lists(st.integers(0, 3 * SLOTS * TICK_US), min_size=1, max_size=20), st.integers(50_000, 5_000_000))
+def test_wheel_runs_each_timer_once_and_never_early(delays: list[int], step: int) -> None:
+    wheel, now, ran = Wheel(0), 0, list[tuple[int, int]]()
+    for delay in delays:
+        wheel.set(delay, lambda delay=delay: ran.append((delay, now)))  # type: ignore[misc]
+    while (due := wheel.next_due()) is not None:
+        now = max(now + 1, min(due, now + step))
+        for then in wheel.turn(now):
+            then()
+    assert sorted(d for d, _ in ran) == sorted(delays)
+    assert all(at >= d and at - d <= TICK_US for d, at in ran)
+
+
+def test_wheel_turned_late_runs_what_is_due_in_order() -> None:
+    wheel, ran = Wheel(0), list[int]()
+    for delay in (9_000_000, 50_000, 5_000_000):
+        wheel.set(delay, lambda delay=delay: ran.append(delay))  # type: ignore[misc]
+    wheel.set(60_000, lambda: ran.append(0)).cancel()
+    for then in wheel.turn(20_000_000):
+        then()
+    assert ran == [50_000, 5_000_000, 9_000_000] and wheel.next_due() is None
+
+
+@pytest.mark.parametrize(("reach", "cause", "result"), [
+    (Reach.CONNECTING, Cause.BROKEN, i.Result.CONNECT_FAILED),
+    (Reach.CONNECTING, Cause.SILENT, i.Result.CONNECT_FAILED),
+    (Reach.WRITING, Cause.BROKEN, i.Result.CONNECT_FAILED),
+    (Reach.SENT, Cause.BROKEN, i.Result.RESET),
+    (Reach.SENT, Cause.SILENT, i.Result.TIMEOUT),
+    (Reach.SENT, Cause.FULL, i.Result.FULL),
+    (Reach.SENT, Cause.ERROR, i.Result.ERROR),
+    (Reach.SENT, Cause.UNREACHABLE, i.Result.CONNECT_FAILED),
+    (Reach.SENT, Cause.SENT_AWAY, i.Result.CANCELLED),
+    (Reach.UP, Cause.SERVED, i.Result.OK),
+    (Reach.UP, Cause.UNREACHABLE, i.Result.RESET),
+    (Reach.UP, Cause.SILENT, i.Result.RESET),
+])
+def test_shortfall_says_what_the_module_needs(reach: Reach, cause: Cause, result: i.Result) -> None:
+    assert Shortfall(reach, cause).result is result
+
+
+def test_pulse_tells_late_boxes_each_second_and_once_more_when_back() -> None:
+    pulse = Pulse(60_000)
+    for took in (5_000, 30_000, 31_000):
+        pulse.add("box-1", 7, took)
+    pulse.add("box-2", 8, 19_000)
+    assert pulse.look() == [(7, "box-1", 30_000.0)]
+    pulse.add("box-1", 9, 1_000)
+    assert pulse.look() == [(9, "box-1", 1_000.0)]
+    pulse.add("box-1", 9, 1_000)
+    assert pulse.look() == []
+
+
+def test_module_hears_of_late_messages_and_load() -> None:
+    bench = Bench()
+    visit, _, attempt = bench.standing()
+    attempt.asked_box()
+    bench.now += 40_000
+    attempt.heard_box()
+    attempt.told_load(1234.0)
+    bench.wait(1_100_000)
+    assert i.LoadNote(visit.number, "box-1", 1234.0) in bench.events
+    assert i.DelayNote(visit.number, "box-1", 40_000.0) in bench.events
+
+
+def test_unanswered_visit_is_failed_before_its_carer_gives_up() -> None:
+    bench = Bench()
+    _, carer = bench.arrive(1_000_000)
+    bench.wait(1_000_000 - ANSWER_MARGIN_US - 4_000)
+    assert carer.told == []
+    bench.wait(ANSWER_MARGIN_US)
+    assert carer.told == ["fail"]
+
+
+def test_timed_out_attempt_is_called_off_and_its_late_word_does_not_count() -> None:
+    bench = Bench()
+    visit, carer = bench.arrive()
+    bench.order(i.Start(visit.number, "box-1", 300_000))
+    first = bench.attempts[0]
+    first.came(Reach.WRITING)
+    first.came(Reach.SENT)
+    bench.wait(320_000)
+    assert [o.result for o in bench.outcomes(visit)] == [i.Result.TIMEOUT] and len(bench.legs[0].hung) == 1
+    bench.order(i.Start(visit.number, "box-2", 300_000))
+    first.stands("late")
+    assert carer.told == [] and visit.stage is Stage.REACHING
+    bench.attempts[1].stands("receipt")
+    assert carer.told == ["seat"]
+
+
+def test_connect_has_its_own_patience() -> None:
+    bench = Bench()
+    visit, _ = bench.arrive()
+    bench.order(i.Start(visit.number, "box-1", 900_000))
+    bench.wait(160_000)
+    assert [o.result for o in bench.outcomes(visit)] == [i.Result.CONNECT_FAILED]
+
+
+def test_late_connect_sends_nothing_to_a_box_that_drains_meanwhile() -> None:
+    # Guards rule 3: a connect may take long, and the first byte is what counts.
+    bench = Bench()
+    visit, _ = bench.arrive()
+    bench.order(i.Start(visit.number, "box-1", 900_000))
+    assert bench.attempts[0].may_send()
+    bench.desk.listed(i.ListUpdate((i.ServerEntry("box-1", i.ServerState.DRAINING),), whole=False))
+    assert not bench.attempts[0].may_send()
+
+
+def test_brought_visit_goes_to_its_own_box_only_and_at_most_four_times() -> None:
+    bench = Bench()
+    carer = Carer()
+    visit = bench.desk.bring_over(Call(1, "parcel"), carer, bench, "box-2")
+    for n in range(4):
+        assert len(bench.attempts) == n + 1 and bench.attempts[n].box == "box-2"
+        bench.attempts[n].ends(Cause.BROKEN)
+        bench.wait(9_000_000)
+    assert len(bench.attempts) == 4 and carer.told == ["fail"]
+    assert not [e for e in bench.events if isinstance(e, i.Request | i.Outcome | i.OpenConnection)]
+    visit = bench.desk.bring_over(Call(1, "parcel"), carer, bench, "box-2")
+    bench.attempts[-1].stands("receipt")
+    bench.desk.turn()
+    assert [e.server for e in bench.events if isinstance(e, i.OpenConnection)] == ["box-2"]
+    assert visit.stage is Stage.STANDING
+
+
+def test_silent_box_is_left_within_seven_seconds_and_a_quiet_one_is_not() -> None:
+    bench = Bench()
+    quiet, quiet_carer, _ = bench.standing("box-2")
+    silent, carer, attempt = bench.standing("box-1")
+    for _ in range(3):
+        attempt.asked_box()
+        bench.wait(2_000_000)
+    bench.wait(900_000)
+    assert carer.told == ["seat", "move"] and quiet_carer.told == ["seat"]
+    assert bench.outcomes(silent)[-1].result is i.Result.RESET and quiet.stage is Stage.STANDING
+
+
+def test_an_exception_of_the_module_stops_at_its_visit() -> None:
+    bench = Bench()
+    visit, carer = bench.arrive()
+    other, other_carer, _ = bench.standing()
+    bench.broken = True
+    bench.desk.put(i.Outcome(visit.number, 0, "box-1", i.Result.FULL))
+    bench.desk.turn()
+    assert carer.told == ["fail"] and other_carer.told == ["seat"] and other.stage is Stage.STANDING
+    assert bench.desk.tally.counts["exceptions"] >= 1
+
+
+def test_a_leaving_relay_answers_on_and_spreads_its_moves() -> None:
+    bench = Bench()
+    standing = [bench.standing()[1] for _ in range(40)]
+    done = list[int]()
+    began = bench.now
+    bench.desk.leave(lambda: done.append(bench.now))
+    late, late_carer = bench.arrive()
+    bench.order(i.Start(late.number, "box-1", 900_000))
+    bench.attempts[-1].stands("receipt")
+    _, waiting = bench.arrive(4_000_000)
+    bench.wait(300_000)
+    assert all(c.told == ["seat"] for c in standing), "the front still sends carers here"
+    bench.wait(1_300_000)
+    moved = sum("move" in c.told for c in standing)
+    assert 10 < moved < 30, "spread, not all at once"
+    bench.wait(GONE_BY_US)
+    assert all(c.told == ["seat", "move"] for c in [*standing, late_carer])
+    assert waiting.told == ["refuse"] and not bench.desk.visits
+    assert len(done) == 1 and done[0] - began <= 3_300_000
+
+
+def test_a_box_that_ends_a_visit_ends_its_carer_the_same_way() -> None:
+    bench = Bench()
+    visit, carer, attempt = bench.standing()
+    attempt.ends(Cause.BROKEN, Ending.BROKEN)
+    bench.desk.turn()
+    assert carer.told == ["seat", "end"] and bench.outcomes(visit)[-1].final
--- /dev/null
+++ b/tests/test_visit_model.py
@@ -0,0 +1,134 @@
+"""A model of a visit's states, against which random steps are checked."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gradefront.core.ports import Ending
+from gradefront.core.shortfall import Cause, Reach
+from gradefront.core.visit import Attempt, Stage, Visit
+from milletdeal import interface as i
+
+from .helper import SETTINGS, Bench, Carer
+
+ANSWERS = {"seat", "refuse", "fail"}
+
+
+@dataclass
+class Model:
+    """What a visit should look like."""
+
+    visit: Visit
+    carer: Carer
+    deadline: int
+    stage: Stage = Stage.WAITING
+    attempts: int = 0
+    left: bool = False
+
+
+class Visits(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.bench = Bench()
+        self.models: list[Model] = []
+
+    def pick(self, n: int) -> Model | None:
+        return self.models[n % len(self.models)] if self.models else None
+
+    def out(self, model: Model) -> Attempt | None:
+        return model.visit.attempt
+
+    @rule(patience=st.integers(50_000, 2_000_000))
+    def arrives(self, patience: int) -> None:
+        visit, carer = self.bench.arrive(patience)
+        self.models.append(Model(visit, carer, self.bench.now + patience))
+
+    @rule(n=st.integers(0), box=st.sampled_from(["box-1", "box-2"]), patience=st.integers(1, 900_000))
+    def module_starts(self, n: int, box: str, patience: int) -> None:
+        if model := self.pick(n):
+            self.bench.order(i.Start(model.visit.number, box, patience))
+            if model.stage is Stage.WAITING and model.attempts < SETTINGS.max_attempts:
+                model.stage, model.attempts = Stage.REACHING, model.attempts + 1
+
+    @rule(n=st.integers(0), refuses=st.booleans())
+    def module_answers(self, n: int, refuses: bool) -> None:
+        model = self.pick(n)
+        if model and model.stage is not Stage.STANDING:
+            number = model.visit.number
+            self.bench.order(i.Refuse(number, 5_000) if refuses else i.Fail(number))
+            model.stage = Stage.ENDED
+
+    @rule(n=st.integers(0))
+    def module_moves(self, n: int) -> None:
+        if model := self.pick(n):
+            self.bench.order(i.Move(model.visit.number))
+            if model.stage is Stage.STANDING:
+                assert model.carer.told[-1] == "move"
+                model.stage = Stage.ENDED
+
+    @rule(n=st.integers(0), reach=st.sampled_from([Reach.WRITING, Reach.SENT]))
+    def leg_comes_further(self, n: int, reach: Reach) -> None:
+        model = self.pick(n)
+        if model and (attempt := self.out(model)):
+            attempt.came(reach)
+
+    @rule(n=st.integers(0))
+    def box_takes(self, n: int) -> None:
+        model = self.pick(n)
+        if model and (attempt := self.out(model)):
+            if model.stage is Stage.REACHING:
+                attempt.stands("receipt")
+                model.stage = Stage.STANDING
+
+    @rule(n=st.integers(0), cause=st.sampled_from([Cause.BROKEN, Cause.FULL, Cause.ERROR, Cause.SENT_AWAY]))
+    def box_ends(self, n: int, cause: Cause) -> None:
+        model = self.pick(n)
+        if model and (attempt := self.out(model)):
+            attempt.ends(cause, Ending.BROKEN)
+            model.stage = Stage.WAITING if model.stage is Stage.REACHING else Stage.ENDED
+
+    @rule(n=st.integers(0), cause=st.sampled_from(list(Cause)))
+    def old_leg_speaks(self, n: int, cause: Cause) -> None:
+        for attempt in self.bench.attempts:
+            if attempt.over:
+                attempt.stands("late")
+                attempt.came(Reach.SENT)
+                attempt.ends(cause)
+
+    @rule(n=st.integers(0))
+    def carer_leaves(self, n: int) -> None:
+        if model := self.pick(n):
+            model.left = model.left or model.stage is not Stage.ENDED
+            self.bench.desk.carer_left(model.visit, Ending.ORDERLY)
+            model.stage = Stage.ENDED
+
+    @rule(us=st.integers(4_000, 700_000))
+    def time_passes(self, us: int) -> None:
+        self.bench.wait(us)
+        for model in self.models:  # only time's own doing: patience that ran out, deadlines
+            if model.stage in (Stage.WAITING, Stage.REACHING):
+                model.stage = model.visit.stage
+                assert model.stage in (Stage.WAITING, Stage.REACHING, Stage.ENDED)
+
+    @invariant()
+    def as_the_model_says(self) -> None:
+        self.bench.desk.turn()
+        for model in self.models:
+            assert model.visit.stage is model.stage
+            assert model.visit.attempts == model.attempts <= SETTINGS.max_attempts
+            answers = [t for t in model.carer.told if t in ANSWERS]
+            answered = not model.left and (model.stage is Stage.ENDED or self.bench.now >= model.deadline)
+            assert len(answers) <= 1 and (answers or not answered), "exactly one answer, in time"
+            assert (model.stage is Stage.ENDED) == (model.visit.number not in self.bench.desk.visits)
+            mine = [a for a in self.bench.attempts if a.visit is model.visit]
+            assert sum(not a.over for a in mine) <= 1, "a second copy"
+            ends = [o.attempt for o in self.bench.outcomes(model.visit) if o.result is not i.Result.MOOT]
+            assert sorted(ends) == [a.number for a in mine if a.over], "one outcome for each attempt"
+
+
+Visits.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+TestVisits = Visits.TestCase
