--- a/gradefront/__main__.py
+++ b/gradefront/__main__.py
@@ -46,7 +46,7 @@
         desk.watcher = ListWatch(reactor, desk, self.box_list, config.discovery)
         desk.asker = LoadAsker(reactor, desk, self.box_list.address)
         self.box_list.take(config.known, whole=True)
-        caller = PlatformCaller(reactor, self.box_list.address, clock)
+        caller = PlatformCaller(reactor, self.box_list.address)
         self.front = PlatformFront(config, desk, caller, lambda: self.box_list.heard)
         if quic:  # imported only where it is on: its libraries cost a start time and memory
             from .quic.front import QuicFront
--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -23,7 +23,9 @@
 
 ANSWER_MARGIN_US = 40_000  # the answer must travel, and be sent by a busy relay, before the carer gives up
 NET_US = 12_000  # the safety net's time after the deadline that the module is told; within the margin
-SILENT_US = 5_000_000  # a push box that owes a reply this long counts as gone silent (7 s are allowed)
+SILENT_US = 4_000_000  # a push box that owes a reply this long counts as gone silent; 7 s are allowed in
+# all, of which up to 2 s pass before the carer's next message and 0.5 s until the next look
+LOOK_US = 500_000  # between two looks for silent push boxes
 DEAD_LINE_US = 120_000_000  # nothing either way for so long: the carer's device is gone
 BROUGHT_US = 38_000_000  # patience with a visit that stood before the start (40 s are allowed)
 BROUGHT_TRIES = 4
@@ -54,7 +56,8 @@
         self.leaving = False
         aims = [c.message_aim_us for c in settings.classes if c.message_aim_us]
         self.pulse = Pulse(min(aims)) if aims and tells_delay else None
-        self.after(PULSE_US, self._each_second)
+        self.after(PULSE_US, self._tell_delays)
+        self.after(LOOK_US, self._look)
 
     # ---- time and turns
 
@@ -316,7 +319,8 @@
 
     def _tell_end(self, attempt: Attempt, shortfall: Shortfall, final: bool) -> None:
         took = self.clock() - attempt.began_us
-        self.put(i.Outcome(attempt.visit.number, attempt.number, attempt.box, shortfall.result, final, took))
+        self.put(i.Outcome(attempt.visit.number, attempt.number, attempt.box, shortfall.result, final, took,
+                           attempt.report))
 
     # ---- visits that stand
 
@@ -340,11 +344,15 @@
         if self.pulse:
             self.pulse.add(box, visit, took_us)
 
-    def _each_second(self) -> None:
-        self.wheel.set(self.clock() + PULSE_US, self._each_second)
+    def _tell_delays(self) -> None:
+        self.wheel.set(self.clock() + PULSE_US, self._tell_delays)
         for number, box, delay in self.pulse.look() if self.pulse else ():
             self.put(i.DelayNote(number, box, delay))
+
+    def _look(self) -> None:
+        """Find visits whose push box, or whose carer's device, has vanished without a word."""
         now = self.clock()
+        self.wheel.set(now + LOOK_US, self._look)
         for visit in list(self.visits.values()):
             attempt = visit.attempt
             if visit.stage is not Stage.STANDING or attempt is None:
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from milletdeal.interface import LoadReport
+
 from .ports import BoxCaller, BoxLeg, Call, CarerSide, Ending
 from .shortfall import Cause, Reach, Shortfall
 from .wheel import Timer
@@ -67,7 +69,7 @@
     """One attempt at a push box. A leg tells it how far it came; once over, it hears nothing more."""
 
     __slots__ = ("desk", "visit", "number", "box", "reach", "began_us", "until_us", "timer", "leg", "over",
-                 "asked", "heard_us")
+                 "asked", "heard_us", "report")
 
     def __init__(self, desk: Desk, visit: Visit, box: str, until_us: int) -> None:
         self.desk = desk
@@ -80,6 +82,7 @@
         self.timer: Timer | None = None
         self.leg: BoxLeg | None = None
         self.over = False
+        self.report: LoadReport | None = None  # what the push box's last word said of its load
         self.asked: deque[int] = deque(maxlen=16)  # when messages went to the push box that await a reply
 
     def may_send(self) -> bool:
--- a/gradefront/net/boxleg.py
+++ b/gradefront/net/boxleg.py
@@ -11,9 +11,10 @@
 from gradefront.core.ports import BoxLeg, Ending
 from gradefront.core.shortfall import Cause, Reach
 from gradefront.core.visit import Attempt
+from milletdeal.interface import Reports
 
 from .base import Lines, ending
-from .lines import FirstLine
+from .lines import FirstLine, read_report
 from .reactor import Reactor
 
 log = logging.getLogger("gradefront.boxleg")
@@ -74,7 +75,7 @@
 
     noisy = False
 
-    def __init__(self, attempt: Attempt, first: FirstLine, clock: Callable[[], int]) -> None:
+    def __init__(self, attempt: Attempt, first: FirstLine) -> None:
         self.attempt = attempt
         self.first = first
         self.line: BoxLine | None = None
@@ -82,6 +83,7 @@
         self.to_carer: Callable[[bytes], None] | None = None
         self.cause = Cause.BROKEN
         self.gone = False
+        self.reports = attempt.desk.settings.reports is Reports.OUTCOMES
 
     # ---- as Twisted's factory
 
@@ -102,8 +104,10 @@
         attempt = self.attempt
         if attempt.over:
             return
+        word = line.partition(b" ")[0]
+        if word in (b"BYE", b"ERR", b"BUSY") and self.reports:
+            attempt.report = read_report(line)
         if attempt.reach < Reach.UP:
-            word = line.partition(b" ")[0]
             if word == b"UP":
                 attempt.stands(line)
             elif word == b"BYE":
@@ -125,7 +129,7 @@
             attempt.heard_box()
             if line == b"MOVE":
                 self.cause = Cause.SENT_AWAY
-            elif line.partition(b" ")[0] == b"BYE":
+            elif word == b"BYE":
                 self.cause = Cause.SERVED
         if self.to_carer:
             self.to_carer(line + b"\r\n")
@@ -170,16 +174,14 @@
 class PlatformCaller:
     """Reaches push boxes over the platform's lines."""
 
-    def __init__(self, reactor: Reactor, address: Callable[[str], tuple[str, int] | None],
-                 clock: Callable[[], int]) -> None:
+    def __init__(self, reactor: Reactor, address: Callable[[str], tuple[str, int] | None]) -> None:
         self.reactor = reactor
         self.address = address
-        self.clock = clock
 
     def call(self, attempt: Attempt, parcel: object) -> BoxLeg:
         """Connect and send the carer's first line."""
         assert isinstance(parcel, FirstLine)
-        leg = PlatformLeg(attempt, parcel, self.clock)
+        leg = PlatformLeg(attempt, parcel)
         where = self.address(attempt.box)
         if where is None:  # not in the box list any more: nothing was sent
             attempt.ends(Cause.BROKEN)
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -42,6 +42,7 @@
 LATE_LOAD = 0.6  # load: read from late messages, this and as much again for each aim that they take
 MOVE_HOLD_US = 1_500_000  # us: between two rounds of moves off one server; reports need to catch up
 MOVE_SPREAD_US = 1_000_000  # us: moves of a round are spread over this
+DRAIN_SPREAD_US = 5_000_000  # us: moves off a draining server; it leaves in its own time, and told late
 THROTTLE = 2.0  # wanted placements for each that stood before some are held back
 FULL_SAY = 0.2  # of an error's say in the throttle: probing a full fleet for every waiting client is vain
 MEMORY_US = 1_500_000  # us: memory of the throttle and of the demand
@@ -97,6 +98,11 @@
                 server = Server(entry)
             server.entry = entry
             self.servers[entry.server] = server
+            if entry.state is ServerState.DRAINING and not server.left:
+                server.left = True  # guards against a cut: what stands there is told before the server leaves
+                self._log("drain", f"{entry.server} drains; {len(server.open)} connections are told to move")
+                self._move_soon(list(server.open), DRAIN_SPREAD_US)
+            server.left = server.left and entry.state is not ServerState.READY
             if entry.state is ServerState.GONE:
                 del self.servers[entry.server]
         self.ring_stale = True
@@ -244,6 +250,8 @@
         self.tenant_open[request.tenant] += 1
         if name in self.servers:
             self.servers[name].open[request.request] = None
+            if self.servers[name].left:  # it began to drain while this was set up
+                self._move_soon([request.request], DRAIN_SPREAD_US)
 
     def _drop(self, request: int) -> None:
         connection = self.connections.pop(request)
@@ -282,13 +290,13 @@
         cheapest = sorted(server.open, key=lambda r: (self._standing_value(r), r))
         self._move_soon(cheapest[:int(len(cheapest) * (1 - MOVE_TO / load) + self.random.random())])
 
-    def _move_soon(self, requests: list[int]) -> None:
+    def _move_soon(self, requests: list[int], spread_us: int = MOVE_SPREAD_US) -> None:
         def move(request: int) -> None:
             if request in self.connections:
                 self._drop(request)
                 self._do(i.Move(request))
         for request in requests:
-            self._after(self.random.uniform(0, MOVE_SPREAD_US), partial(move, request))
+            self._after(self.random.uniform(0, spread_us), partial(move, request))
 
     def _standing_value(self, request: int) -> float:
         connection = self.connections[request]
--- a/milletdeal/records.py
+++ b/milletdeal/records.py
@@ -24,6 +24,7 @@
     hold_until: int = 0  # no further moves before this
     delay: float = 0.0  # message delay by the last note, in aims
     probing: bool = False
+    left: bool = False  # it drains, and what stands there has been told to move
     waiters: list[int] = field(default_factory=list)  # requests that wait for the probe
 
 
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,33 @@
+"""What stands on a draining server is told to move before the server leaves."""
+
+from __future__ import annotations
+
+from milletdeal import Balancer
+from milletdeal import interface as i
+
+CLASS = i.RequestClass(aim_us=500_000, deadline_us=2_000_000)
+
+
+def test_a_draining_server_is_emptied_over_some_seconds_and_each_connection_told_once() -> None:
+    b = Balancer(i.Settings(classes=(CLASS,)), 1)
+    b.handle(0, i.ListUpdate((i.ServerEntry("s1"), i.ServerEntry("s2"))))
+    for n in range(20):
+        b.handle(1, i.OpenConnection(i.Request(n, 1), "s1" if n < 15 else "s2"))
+    timers = list[tuple[int, int]]()
+    for at in (1_000, 2_000):  # told twice: by a change and by a whole list
+        change = i.ListUpdate((i.ServerEntry("s1", i.ServerState.DRAINING),), whole=False)
+        timers += [(at + a.delay_us, a.timer) for a in b.handle(at, change) if isinstance(a, i.SetTimer)]
+    moved = list[tuple[int, int]]()
+    for at, timer in sorted(timers):
+        moved += [(at, a.request) for a in b.handle(at, i.TimerFired(timer)) if isinstance(a, i.Move)]
+    assert sorted(r for _, r in moved) == list(range(15))
+    assert moved[-1][0] - moved[0][0] > 2_000_000 and moved[-1][0] < 6_000_000
+
+
+def test_a_connection_set_up_while_its_server_begins_to_drain_is_told_too() -> None:
+    b = Balancer(i.Settings(classes=(CLASS,)), 1)
+    b.handle(0, i.ListUpdate((i.ServerEntry("s1"),)))
+    b.handle(1, i.Request(7, 2_000_000))
+    b.handle(2, i.ListUpdate((i.ServerEntry("s1", i.ServerState.DRAINING),), whole=False))
+    (timer,) = [a for a in b.handle(3, i.Established(7, 0, "s1")) if isinstance(a, i.SetTimer)]
+    assert b.handle(3 + timer.delay_us, i.TimerFired(timer.timer)) == [i.Move(7)]
