Move off a box whose report says overload, though no message was late

Traced: the log of delays stayed empty; a probe of all message times showed replies in 0.2 ms (2.4 ms at most) at every box throughout, so on sockets a slow box echoes at once and the module's only trigger for moves (_late) never fires.

Lines at fault: balance.py _probed moved only when a late message had asked.

--- a/gradefront/__main__.py
+++ b/gradefront/__main__.py
@@ -85,6 +85,7 @@
     signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(relay.leave))
     signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(relay.leave))
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(relay.show))
+    log.info("settings: %s; message delays told: %s", config.settings, config.tells_delay)
     where = relay.port.getHost()
     log.info("relay %s listens on %s:%d", config.name, where.host, where.port)
     for door in relay.quic.doors if relay.quic else ():
--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -347,6 +347,8 @@
     def _tell_delays(self) -> None:
         self.wheel.set(self.clock() + PULSE_US, self._tell_delays)
         for number, box, delay in self.pulse.look() if self.pulse else ():
+            log.info("messages at push box %s take %.0f ms", box, delay / 1000)
+            self.tally.add("delays_told")
             self.put(i.DelayNote(number, box, delay))
 
     def _look(self) -> None:
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -36,6 +36,7 @@
 LEAST_FULL = 10.0  # mean connections: what any server takes, until this node has seen enough to tell
 COLD_SAFETY = 0.5  # part of the cold budget used: nodes' estimates of capacity err
 MOVE_AT = 0.85  # load above which standing connections are moved away
+MOVE_TOLD = 1.0  # load in any report above which some move, though no message was late
 MOVE_TO = 0.7  # load that moving aims at
 MOVE_DELAY = 0.6  # aims: message delay above which a server is looked at
 COUNTED = 0.7  # load: most that own counts may claim; only late messages show that a server is full
@@ -321,7 +322,10 @@
         else:
             server.fails //= 2  # forgive gradually: a flapping server stays suspect
             self._report(server, event.report or i.LoadReport())
-        if -1 in waiters:
+        # Guards against a slow server whose messages tell nothing: any report above the limit moves some.
+        high = not silent and (server.load or 0.0) > MOVE_TOLD and self.now >= server.hold_until
+        if -1 in waiters or high:
+            server.hold_until = max(server.hold_until, self.now + MOVE_HOLD_US)
             self._move_some(server, None if silent else server.load)
         for job in [self.jobs[n] for n in waiters if n in self.jobs]:
             if event.server in job.missing:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -31,3 +31,19 @@
     b.handle(2, i.ListUpdate((i.ServerEntry("s1", i.ServerState.DRAINING),), whole=False))
     (timer,) = [a for a in b.handle(3, i.Established(7, 0, "s1")) if isinstance(a, i.SetTimer)]
     assert b.handle(3 + timer.delay_us, i.TimerFired(timer.timer)) == [i.Move(7)]
+
+
+def test_a_report_of_overload_moves_some_though_no_message_was_late() -> None:
+    # On real sockets a slow box echoes at once: only what a probe tells shows that it is overloaded.
+    b = Balancer(i.Settings(classes=(CLASS,), may_probe=True, reports=i.Reports.PROBES), 1)
+    b.handle(0, i.ListUpdate((i.ServerEntry("s1"), i.ServerEntry("s2"))))
+    for n in range(40):
+        b.handle(1, i.OpenConnection(i.Request(n, 1), "s1"))
+
+    def timers(load: float, now: int) -> int:
+        told = b.handle(now, i.ProbeResult("s1", i.Result.OK, 0, i.LoadReport(load)))
+        return sum(isinstance(a, i.SetTimer) for a in told)
+    assert timers(0.95, 10) == 0, "below what it can do: late messages decide"
+    assert 18 <= timers(1.4, 20) <= 22, "half, so that 0.7 is left of 1.4"
+    assert timers(1.4, 30) == 0, "the next round only when reports can show this one"
+    assert timers(1.4, 2_000_000) > 0
