Leave refused QUIC boxes, keep long QUIC visits, move off boxes that shed

Three findings, each with a small test. 1. A QUIC box where nothing listens hung its visit until the deadline, with exceptions in the log. Traced: epoll reports the refusal as a socket error, on which Twisted drops the port without connectionRefused; the path's transport was None (quic/paths.py). stopProtocol tells it now. Ruled out: the module's choice; the kept datagrams. 2. The desk's look for vanished devices would have reset every QUIC visit after two minutes, since nothing there told it of traffic (core/desk.py _look). Found by reading; Attempt.alive tells it now. 3. Also new: property tests of ids, packets, lines and the box list.

--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -120,6 +120,10 @@
         if self.asked:
             self.desk.replied(self.box, self.visit.number, now - self.asked.popleft())
 
+    def alive(self) -> None:
+        """Something passed, either way, on a visit whose messages the front can't tell apart."""
+        self.heard_us = self.desk.clock()
+
     def told_load(self, load: float) -> None:
         """The push box told what load this visit is now."""
         if not self.over:
--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -299,6 +299,8 @@
         if owner:
             owner.learn(an_id)  # a fresh id on a known path is the same connection's
             owner.client, owner.used_us, owner.door = client, now, door
+            if owner.leg:
+                owner.leg.attempt.alive()
             if an_id != owner.first_id:
                 owner.last_id = an_id
             if not owner.unanswered:
@@ -371,8 +373,9 @@
                 owner.leg.heard(path, datagram)
             return
         path.used_us = self.desk.clock()
-        if owner:
+        if owner and owner.leg:
             owner.unanswered, owner.used_us = 0, path.used_us
+            owner.leg.attempt.alive()
         self.desk.tally.add("quic_datagrams_to_clients")
         path.door.reply(datagram, path.client)
 
@@ -456,6 +459,8 @@
             owner.client, owner.door = path.client, path.door
             owner.last_id, owner.used_us = path.last_id, max(path.used_us, path.since_us)
             owner.unanswered = 0
+            if owner.leg:
+                owner.leg.attempt.alive()
             found = True
         return found
 
--- a/gradefront/quic/paths.py
+++ b/gradefront/quic/paths.py
@@ -66,6 +66,13 @@
         if not self.closed:
             self.refused(self)
 
+    def stopProtocol(self) -> None:
+        """The port is gone. Guards against a refusal that epoll reports as an error on the socket: Twisted
+        then drops the port without a word to `connectionRefused`."""
+        if not self.closed:
+            self.closed = True
+            self.refused(self)
+
     def close(self) -> None:
         """Give the port back."""
         if not self.closed:
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -37,6 +37,7 @@
 COLD_SAFETY = 0.5  # part of the cold budget used: nodes' estimates of capacity err
 MOVE_AT = 0.85  # load above which standing connections are moved away
 MOVE_TOLD = 1.0  # load in any report above which some move, though no message was late
+SHED_US = 5_000_000  # us: for so long after a drop, any report above MOVE_AT moves some
 MOVE_TO = 0.7  # load that moving aims at
 MOVE_DELAY = 0.6  # aims: message delay above which a server is looked at
 COUNTED = 0.7  # load: most that own counts may claim; only late messages show that a server is full
@@ -216,6 +217,9 @@
             self._drop(outcome.request)
             if outcome.result is Result.RESET and server:
                 self._suspect(server)
+                # An overloaded server drops connections, then looks well loaded while its messages are late.
+                server.shed_until = self.now + SHED_US
+                self._look_at(server)
             return
         if server and outcome.result in i.SILENT:
             self._suspect(server)
@@ -273,16 +277,21 @@
         if not server or not connection or not math.isfinite(note.delay_us):
             return
         server.delay = note.delay_us / max(1, connection.klass.message_aim_us)
-        if server.delay < MOVE_DELAY or self.now < server.hold_until:
-            return
-        server.hold_until = self.now + MOVE_HOLD_US
-        if self.s.may_probe and self.s.reports is not i.Reports.NONE:
-            server.waiters.append(-1)
-            self._probe(server)
-        else:  # a late message stands in for a report
+        if server.delay >= MOVE_DELAY and not self._look_at(server) and self.now >= server.hold_until:
+            server.hold_until = self.now + MOVE_HOLD_US  # a late message stands in for a report
             server.load, server.load_at = min(2.0, LATE_LOAD + LATE_LOAD * server.delay), self.now
             self._move_some(server, server.load)
 
+    def _look_at(self, server: Server) -> bool:
+        """Probe a server that may be overloaded, and move some off it if so. False: no probes here."""
+        if not self.s.may_probe or self.s.reports is i.Reports.NONE:
+            return False
+        if self.now >= server.hold_until:
+            server.hold_until = self.now + MOVE_HOLD_US
+            server.waiters.append(-1)
+            self._probe(server)
+        return True
+
     def _move_some(self, server: Server, load: float | None) -> None:
         load = 1.0 + min(1.0, server.delay / 4) if load is None else load
         if load <= MOVE_AT:
@@ -323,7 +332,8 @@
             server.fails //= 2  # forgive gradually: a flapping server stays suspect
             self._report(server, event.report or i.LoadReport())
         # Guards against a slow server whose messages tell nothing: any report above the limit moves some.
-        high = not silent and (server.load or 0.0) > MOVE_TOLD and self.now >= server.hold_until
+        limit = MOVE_AT if self.now < server.shed_until else MOVE_TOLD
+        high = not silent and (server.load or 0.0) > limit and self.now >= server.hold_until
         if -1 in waiters or high:
             server.hold_until = max(server.hold_until, self.now + MOVE_HOLD_US)
             self._move_some(server, None if silent else server.load)
--- a/milletdeal/records.py
+++ b/milletdeal/records.py
@@ -21,6 +21,7 @@
     open: dict[int, None] = field(default_factory=dict)  # this node's standing connections
     tokens: float = 0.0  # this node's part of the cold budget, in mean connections
     tokens_at: int = 0  # 0: no budget opened yet
+    shed_until: int = 0  # it has dropped a connection not long before this
     hold_until: int = 0  # no further moves before this
     delay: float = 0.0  # message delay by the last note, in aims
     probing: bool = False
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -170,6 +170,17 @@
     assert bench.outcomes(silent)[-1].result is i.Result.RESET and quiet.stage is Stage.STANDING
 
 
+def test_only_a_visit_with_nothing_passing_either_way_is_ended_as_its_device_is_gone() -> None:
+    # Guards QUIC visits, whose messages nobody here can tell apart: they were all moved after two minutes.
+    bench = Bench()
+    _, gone, _ = bench.standing()
+    _, used, attempt = bench.standing("box-2")
+    for _ in range(70):
+        attempt.alive()
+        bench.wait(2_000_000)
+    assert gone.told == ["seat", "move"] and used.told == ["seat"]
+
+
 def test_an_exception_of_the_module_stops_at_its_visit() -> None:
     bench = Bench()
     visit, carer = bench.arrive()
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -47,3 +47,20 @@
     assert 18 <= timers(1.4, 20) <= 22, "half, so that 0.7 is left of 1.4"
     assert timers(1.4, 30) == 0, "the next round only when reports can show this one"
     assert timers(1.4, 2_000_000) > 0
+
+
+def test_after_a_drop_a_lower_report_moves_some_for_a_while() -> None:
+    # A slow box that has shed connections looks well loaded, and its messages are late all the same.
+    b = Balancer(i.Settings(classes=(CLASS,), may_probe=True, reports=i.Reports.PROBES), 1)
+    b.handle(0, i.ListUpdate((i.ServerEntry("s1"), i.ServerEntry("s2"))))
+    for n in range(40):
+        b.handle(1, i.OpenConnection(i.Request(n, 1), "s1"))
+    told = b.handle(1_000, i.Outcome(0, 0, "s1", i.Result.RESET, True))
+    assert i.Probe("s1") in told
+
+    def timers(load: float, now: int) -> int:
+        told = b.handle(now, i.ProbeResult("s1", i.Result.OK, 0, i.LoadReport(load)))
+        return sum(isinstance(a, i.SetTimer) for a in told)
+    assert timers(0.8, 10_000) == 0
+    assert timers(0.9, 2_000_000) > 0, "while the drop is fresh"
+    assert timers(0.9, 7_000_000) == 0, "later only a report above what it can do"
--- /dev/null
+++ b/tests/test_quic_parts.py
@@ -0,0 +1,129 @@
+"""The QUIC front's parts: ids, packets, and its file. No sockets."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+from aioquic._buffer import Buffer
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from aioquic.quic.packet import QuicErrorCode, QuicPacketType, encode_quic_retry, pull_quic_header
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gradefront.config import Config, ConfigError
+from gradefront.quic import config as quic_config
+from gradefront.quic.ids import IdForm
+from gradefront.quic.packets import (
+    VERSIONS,
+    close_initial,
+    open_initial,
+    reset_token,
+    sound_retry,
+    split,
+    stateless_reset,
+    unknown_version,
+)
+from milletdeal import interface as i
+
+CONFIG = Config(
+    name="n0", listen=("127.0.0.1", 0), discovery=("127.0.0.1", 1), seed=1, sockets=100,
+    settings=i.Settings(classes=(i.RequestClass(aim_us=1, deadline_us=2),)), class_names=("visit-checkin",),
+    zones=(), models=(), tenants=(), report_names=(), tells_delay=False)
+FILE: dict[str, Any] = {
+    "on": True, "listen": {"visit-checkin": "127.0.0.1:0"}, "config_id": 1, "server_id_length": 2,
+    "nonce_length": 5, "boxes": {"a": {"server_id": "0001", "address": "127.0.0.1:5", "reset_key": "00ff"}}}
+
+FORMS = st.builds(IdForm, st.integers(0, 6), st.integers(1, 7), st.integers(4, 12), st.booleans())
+
+
+@given(FORMS, st.data())
+def test_an_id_names_the_box_that_made_it(form: IdForm, data: st.DataObject) -> None:
+    server_id = data.draw(st.binary(min_size=form.server_id_length, max_size=form.server_id_length))
+    made = form.make(server_id)
+    assert len(made) == form.length <= 20 and made[0] >> 5 == form.number
+    assert form.read(made) == server_id and form.make(server_id) != made
+    assert form.read(made[:-1]) is None
+    assert IdForm((form.number + 1) % 7, form.server_id_length, form.nonce_length).read(made) is None
+
+
+def test_the_draft_s_example_of_the_plaintext_form() -> None:
+    # First octet: configuration 0 and, told, the 8 octets that follow; server id 31441a; the rest is nonce.
+    form = IdForm(0, 3, 5)
+    assert form.read(bytes.fromhex("0831441a9c69c27512")) == bytes.fromhex("31441a")
+    assert form.read(bytes.fromhex("0731441a9c69c27512")) is None, "another length is told"
+    assert form.read(bytes.fromhex("e831441a9c69c27512")) is None, "the number that names no box"
+
+
+@given(st.binary(max_size=1500),
+       st.sampled_from([b"", b"\xc0\x00\x00\x00\x01", b"\xd0\x6b\x33\x43\xcf", b"\x40"]))
+def test_no_datagram_breaks_the_reader(noise: bytes, head: bytes) -> None:
+    datagram = head + noise
+    unknown_version(datagram)
+    for packet in split(datagram, 8):
+        assert packet.data and len(packet.data) <= len(datagram)
+        opened = open_initial(packet, packet.header.destination_cid, from_client=True)
+        assert opened is None, "noise that opens with the Initial keys"
+        assert not sound_retry(packet, b"first-id")
+
+
+@pytest.mark.parametrize("version", VERSIONS)
+def test_a_close_of_ours_opens_for_the_client_only_under_its_own_first_id(version: int) -> None:
+    datagram = close_initial(version, b"first-id", b"client", "BUSY 250")
+    (packet,) = split(datagram, 8)
+    assert packet.header.destination_cid == b"client" and len(packet.data) == len(datagram)
+    opened = open_initial(packet, b"first-id", from_client=False)
+    assert opened and opened.close_code == QuicErrorCode.CONNECTION_REFUSED
+    assert open_initial(packet, b"other-id", from_client=False) is None
+    assert open_initial(packet, b"first-id", from_client=True) is None
+
+
+def test_a_real_client_s_initial_opens_and_a_bent_one_does_not() -> None:
+    client = QuicConnection(configuration=QuicConfiguration(is_client=True))
+    client.connect(("127.0.0.1", 1), 0.0)
+    for datagram, _ in client.datagrams_to_send(0.0):
+        first_id = pull_quic_header(Buffer(data=datagram), 8).destination_cid
+        packet = split(datagram, 8)[0]
+        opened = open_initial(packet, first_id, from_client=True)
+        assert opened is not None and opened.close_code is None
+        end = len(packet.data) - 1
+        bent = split(datagram[:end] + bytes([datagram[end] ^ 1]) + datagram[end + 1:], 8)[0]
+        assert open_initial(bent, first_id, from_client=True) is None
+
+
+def test_a_retry_is_sound_only_for_the_initial_that_it_answers() -> None:
+    retry = encode_quic_retry(VERSIONS[0], b"box-id-1", b"client", b"first-id", b"token")
+    (packet,) = split(retry, 8)
+    assert packet.header.packet_type is QuicPacketType.RETRY
+    assert sound_retry(packet, b"first-id") and not sound_retry(packet, b"other-id")
+
+
+@given(st.binary(min_size=1, max_size=20), st.integers(0, 100))
+def test_a_reset_looks_like_a_short_packet_and_ends_in_the_token(an_id: bytes, room: int) -> None:
+    key = os.urandom(16)
+    reset = stateless_reset(key, an_id, room)
+    assert reset[0] & 0xC0 == 0x40 and 21 <= len(reset) <= max(21, min(room, 43))
+    assert reset[-16:] == reset_token(key, an_id) != reset_token(key + b"x", an_id)
+
+
+@pytest.mark.parametrize(("change", "said"), [
+    ({"config_id": 7}, "config_id"), ({"nonce_length": 3}, "nonce_length"),
+    ({"server_id_length": 15, "nonce_length": 9}, "together"),
+    ({"listen": {"nobody": "127.0.0.1:1"}}, "listen: no class"),
+    ({"listen": {"visit-checkin": "x"}}, "HOST:PORT"),
+    ({"boxes": {"a": {"server_id": "01", "address": "127.0.0.1:1", "reset_key": ""}}}, "boxes.a.server_id"),
+    ({"boxes": {n: FILE["boxes"]["a"] for n in "ab"}}, "same server_id"),
+    ({"boxes": {"a": {}}}, "server_id: missing"),
+])
+def test_a_file_without_sense_is_refused_by_field(change: dict[str, Any], said: str) -> None:
+    quic_config.parse(FILE, CONFIG)
+    with pytest.raises(ConfigError, match=said):
+        quic_config.parse({**FILE, **change}, CONFIG)
+
+
+def test_as_shipped_the_front_is_off() -> None:
+    assert quic_config.load(CONFIG, quic_config.FILE) is None
+    assert quic_config.load(CONFIG, Path("no/such/file")) is None
--- a/tests/test_quic_service.py
+++ b/tests/test_quic_service.py
@@ -163,6 +163,19 @@
     asyncio.run(play())
 
 
+def test_a_box_where_nothing_listens_is_left_for_another(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with town(tmp_path, ["serve", "serve"]) as here:
+            here.boxes[0].wire.close()
+            for n in range(6):
+                device = await here.device()
+                assert await device.ask(f"{n}") == f"box-1 has {n}".encode()
+            counts = await here.relay.counters()
+            assert counts["stood"] == 6 and counts["visits_now"] == 6
+            assert counts["ended: unreachable while sent"] == counts["attempts"] - 6
+    asyncio.run(play())
+
+
 def test_malformed_datagrams_end_nothing(tmp_path: Path) -> None:
     async def play() -> None:
         async with town(tmp_path, ["serve"]) as here:
