--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -28,6 +28,7 @@
 LOOK_US = 500_000  # between two looks for silent push boxes
 DEAD_LINE_US = 120_000_000  # nothing either way for so long: the carer's device is gone
 BROUGHT_US = 38_000_000  # patience with a visit that stood before the start (40 s are allowed)
+BROUGHT_TRY_US = 9_000_000  # of which one attempt may take this, so that a lost one leaves time for others
 BROUGHT_TRIES = 4
 BROUGHT_WAIT_US = 500_000
 LEAVE_AFTER_US = 450_000  # on leaving: the front still sends carers here for 0.2 to 0.4 s
@@ -172,7 +173,7 @@
         visit = self._new(call, carer, caller, BROUGHT_US, box)
         self.tally.add("visits_brought")
         visit.watch = self.after(BROUGHT_US, partial(self._overdue, visit))
-        self._reach_out(visit, box, visit.deadline_us)
+        self._reach_out(visit, box, min(visit.deadline_us, self.clock() + BROUGHT_TRY_US))
         return visit
 
     def _new(self, call: Call, carer: CarerSide, caller: BoxCaller, patience_us: int,
@@ -314,7 +315,8 @@
 
         def again() -> None:
             if visit.stage is Stage.WAITING:
-                self._reach_out(visit, visit.pinned, visit.deadline_us)
+                until = min(visit.deadline_us, self.clock() + BROUGHT_TRY_US)
+                self._reach_out(visit, visit.pinned, until)
         self.after(BROUGHT_WAIT_US << visit.attempts, again)
 
     def _tell_end(self, attempt: Attempt, shortfall: Shortfall, final: bool) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -158,6 +158,13 @@
     assert visit.stage is Stage.STANDING
 
 
+def test_a_brought_visit_whose_box_says_nothing_is_tried_again_in_time() -> None:
+    bench = Bench()
+    visit = bench.desk.bring_over(Call(1, "parcel"), Carer(), bench, "box-2")
+    bench.wait(11_000_000)
+    assert len(bench.attempts) == 2 and bench.attempts[0].over and visit.stage is Stage.REACHING
+
+
 def test_silent_box_is_left_within_seven_seconds_and_a_quiet_one_is_not() -> None:
     bench = Bench()
     quiet, quiet_carer, _ = bench.standing("box-2")
