Read the configuration anew on SIGHUP and move the watch to the new discovery

SIGHUP had no handler (__main__.py main), so the system's default ended the process.

Now SIGHUP reads LB_CONFIG whole or keeps the old; the address in the file, once it changes, goes before LB_DISCOVERY, which tells the start's. ListWatch.go_to closes the old call without a word and asks the new address for everything since revision 0. ListWatch.watch no longer replaces a call that is on: the module's retry, set when the old watch was lost, would have torn down the new one. Signals that come before the reactor runs now wait for it. Config.parse turns any error of form into ConfigError (a list for `limits`, say, ended the process before).

--- a/gradefront/__main__.py
+++ b/gradefront/__main__.py
@@ -7,6 +7,8 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from dataclasses import fields, replace
 from pathlib import Path
 from typing import TYPE_CHECKING, cast
 
@@ -30,12 +32,15 @@
 
 log = logging.getLogger("gradefront")
 
+RELOADED = ("discovery", "filed_discovery", "sockets", "seed", "known")  # all else waits for the next start
+
 
 class Relay:
     """One relay: the desk, the platform's front, and their way in and out of service."""
 
     def __init__(self, config: Config, quic: QuicConfig | None, reactor: Reactor) -> None:
         clock = Clock()
+        self.config = config
         self.reactor = reactor
         self.quic: QuicFront | None = None
         self.driver = Driver(reactor, clock)
@@ -43,7 +48,7 @@
                                 self.driver.poke, config.tells_delay)
         self.driver.desk = desk
         self.box_list = BoxList(config, desk)
-        desk.watcher = ListWatch(reactor, desk, self.box_list, config.discovery)
+        desk.watcher = self.list_watch = ListWatch(reactor, desk, self.box_list, config.discovery)
         desk.asker = LoadAsker(reactor, desk, self.box_list.address)
         self.box_list.take(config.known, whole=True)
         caller = PlatformCaller(reactor, self.box_list.address)
@@ -58,6 +63,30 @@
         levels = {"connections_now": self.front.open, "visits_now": len(self.desk.visits)}
         log.info("counters %s", self.desk.tally.line(**levels))
 
+    def reload(self) -> None:
+        """The file of the configuration was replaced: taken whole or not at all; what stands goes on."""
+        try:
+            told = load(os.environ)
+        except ConfigError as error:
+            log.error("configuration not taken, the old one stays: %s", error)
+            self.desk.tally.add("reloads_refused")
+            return
+        old = self.config
+        # LB_DISCOVERY tells the address of the start: once the file names another, the file goes before it.
+        moved = told.filed_discovery is not None and told.filed_discovery != old.filed_discovery
+        where = told.filed_discovery if moved and told.filed_discovery else old.discovery
+        later = [f.name for f in fields(told)
+                 if f.name not in RELOADED and getattr(told, f.name) != getattr(old, f.name)]
+        if later:
+            log.warning("taken at the next start only: %s", ", ".join(later))
+        self.config = replace(old, discovery=where, filed_discovery=told.filed_discovery,
+                              sockets=told.sockets)
+        self.front.config = self.config
+        self.desk.tally.add("reloads")
+        log.info("configuration taken; discovery at %s:%d", *where)
+        if where != old.discovery:
+            self.list_watch.go_to(where)
+
     def leave(self) -> None:
         """A planned restart."""
         self.desk.leave(self._stop)
@@ -66,8 +95,19 @@
         self.reactor.callLater(0.15, self.reactor.stop)  # time for the last answers to leave
 
 
+def _on_signal(number: signal.Signals, do: Callable[[], None], reactor: Reactor) -> None:
+    """Have the reactor do it, once it runs."""
+    signal.signal(number, lambda *_: reactor.callFromThread(do))
+
+
 def main() -> int:
     """Serve until told to stop; 0 then, 2 where the configuration makes no sense."""
+    reactor = cast(Reactor, twisted_reactor)
+    relay: Relay
+    # Before the file is read: a signal that comes meanwhile waits for the reactor and ends nothing.
+    for number, do in ((signal.SIGTERM, Relay.leave), (signal.SIGINT, Relay.leave),
+                       (signal.SIGUSR1, Relay.show), (signal.SIGHUP, Relay.reload)):
+        _on_signal(number, lambda do=do: do(relay), reactor)  # type: ignore[misc]
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(levelname)s %(name)s %(message)s")
     try:
@@ -76,15 +116,11 @@
     except ConfigError as error:
         print(f"gradefront: {error}", file=sys.stderr)
         return 2
-    reactor = cast(Reactor, twisted_reactor)
     try:
         relay = Relay(config, quic, reactor)
     except CannotListenError as error:
         print(f"gradefront: {error}", file=sys.stderr)
         return 2
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(relay.leave))
-    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(relay.leave))
-    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(relay.show))
     log.info("settings: %s; message delays told: %s", config.settings, config.tells_delay)
     where = relay.port.getHost()
     log.info("relay %s listens on %s:%d", config.name, where.host, where.port)
--- a/gradefront/config.py
+++ b/gradefront/config.py
@@ -35,6 +35,7 @@
     report_names: tuple[str, ...]
     tells_delay: bool
     known: dict[str, Any] = field(default_factory=dict)
+    filed_discovery: Address | None = None  # what the file itself says, whatever the variable says
 
 
 def address(text: object, what: str) -> Address:
@@ -62,7 +63,15 @@
 
 
 def parse(told: dict[str, Any], environment: Mapping[str, str]) -> Config:
-    """The configuration from the file's object."""
+    """The configuration from the file's object. An error of any kind is a `ConfigError`: a file that is
+    replaced under load may hold anything, and must not end a relay that serves."""
+    try:
+        return _parse(told, environment)
+    except (TypeError, ValueError, AttributeError, KeyError, OverflowError) as error:
+        raise ConfigError(f"not of the right form: {error}") from None
+
+
+def _parse(told: dict[str, Any], environment: Mapping[str, str]) -> Config:
     info = told["settings"]
     try:
         settings, report_names = wire.settings(info)
@@ -75,16 +84,20 @@
     limits = told.get("limits") or {}
     family = info.get("familyInfo") or {}
     known = told.get("known")
+    filed = address(told["discovery"], "discovery") if told.get("discovery") else None
+    sockets = int(limits.get("sockets", 1024))
+    if sockets < 1:
+        raise ConfigError(f"limits.sockets: '{sockets}' is not above 0")
     return Config(
         name=environment.get("LB_NAME") or str(told.get("name", "relay")),
         listen=address(environment.get("LB_LISTEN") or told.get("listen"), "LB_LISTEN"),
         discovery=address(environment.get("LB_DISCOVERY") or told.get("discovery"), "LB_DISCOVERY"),
         seed=_seed(told.get("seed", 0)),
-        sockets=int(limits.get("sockets", 1024)),
+        sockets=sockets,
         settings=settings, class_names=names("grades"), zones=names("zones"), models=names("models"),
         tenants=names("parties"), report_names=report_names,
         tells_delay=bool(family.get("tellsDelay", False)),
-        known=known if isinstance(known, dict) else {})
+        known=known if isinstance(known, dict) else {}, filed_discovery=filed)
 
 
 def _seed(value: object) -> int:
--- a/gradefront/net/boxlist.py
+++ b/gradefront/net/boxlist.py
@@ -94,7 +94,7 @@
 
     def connectionMade(self) -> None:
         """Ask for the changes since the revision known."""
-        box_list, (host, port) = self.call.watch.box_list, self.call.watch.where
+        box_list, (host, port) = self.call.watch.box_list, self.call.where
         transport = self.wire
         transport.setTcpNoDelay(True)
         transport.write(f"GET /discovery/hosts?stream=1&index={box_list.revision} HTTP/1.1\r\n"
@@ -168,6 +168,8 @@
 
     def __init__(self, watch: ListWatch) -> None:
         self.watch = watch
+        self.where = watch.where
+        self.news = False
         self.line: WatchLine | None = None
         self.ended = False
         self.connector: Any = None
@@ -184,6 +186,8 @@
 
     def alive(self) -> None:
         """Something came."""
+        if self.ended:
+            return
         self.silence.cancel()
         self.silence = self.watch.desk.after(SILENCE_US, self._silent)
 
@@ -193,6 +197,8 @@
 
     def heard(self, line: bytes) -> None:
         """One object."""
+        if self.ended:
+            return
         try:
             told = json.loads(line)
             if not isinstance(told, dict):
@@ -200,8 +206,11 @@
         except ValueError as error:
             self.over(f"not JSON: {error}")
             return
-        if not self.ended:
-            self.watch.box_list.take(told)
+        if not self.news:
+            self.news = True
+            log.info("box list from %s:%d: revision %s, %s, %d lines", *self.where, told.get("revision"),
+                     "whole" if told.get("complete") else "changes", len(told.get("members") or ()))
+        self.watch.box_list.take(told)
 
     def over(self, why: str) -> None:
         """End this call and tell the desk."""
@@ -230,8 +239,20 @@
         self.call: WatchCall | None = None
 
     def watch(self) -> None:
-        """Ask for a watch; one that stands makes room for it."""
+        """Ask for a watch, unless one is on: a retry that was set for a watch that has since been replaced
+        must not cost the new one its place in discovery's queue."""
+        if self.call is None or self.call.ended:
+            self._call()
+
+    def go_to(self, where: tuple[str, int]) -> None:
+        """Discovery is elsewhere now. The old watch ends here and now: nothing late from it counts, and its
+        end is no news. The numbers of its revisions mean nothing at the new address, so all is asked for."""
+        self.where = where
+        self.box_list.revision = 0
         if self.call:
             self.call.close()
+        self._call()
+
+    def _call(self) -> None:
         self.call = WatchCall(self)
         self.call.connector = self.reactor.connectTCP(*self.where, self.call, timeout=None)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from gradefront.config import Config, ConfigError, address, parse
-from gradefront.net.boxlist import BoxList
+from gradefront.net.boxlist import BoxList, ListWatch
 from gradefront.net.lines import BadLine, read_first, read_report
 from milletdeal import interface as i
 
@@ -84,3 +84,36 @@
     told = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings()}
     config = parse(told, {"LB_NAME": "n7", "LB_LISTEN": "[::1]:9", "LB_DISCOVERY": "127.0.0.1:8"})
     assert (config.name, config.listen, config.discovery) == ("n7", ("::1", 9), ("127.0.0.1", 8))
+
+
+class Dials:
+    """A reactor that records whom it was to connect to; nothing connects."""
+
+    def __init__(self) -> None:
+        self.dialled: list[int] = []
+
+    def connectTCP(self, host: str, port: int, factory: object, timeout: float | None = None) -> Dials:
+        self.dialled.append(port)
+        return self
+
+    def disconnect(self) -> None:
+        pass
+
+
+def test_no_stale_retry_or_late_news_undoes_a_watch_at_a_new_address() -> None:
+    bench, dials = Bench(), Dials()
+    watch = ListWatch(dials, bench.desk, BoxList(CONFIG, bench.desk), ("127.0.0.1", 1))  # type: ignore[arg-type]
+    watch.watch()
+    old = watch.call
+    assert old
+    watch.go_to(("127.0.0.1", 2))
+    watch.watch()  # a retry that the module had set for the old watch
+    old.heard(b'{"revision": 9, "complete": true, "members": []}')
+    old.over("the connection ended")
+    bench.wait(1_000_000)
+    assert dials.dialled == [1, 2] and watch.box_list.revision == 0
+    assert not any(isinstance(e, i.ListError) for e in bench.events) and bench.desk.serves("box-1")
+    assert watch.call and not watch.call.ended
+    watch.call.over("the connection ended")
+    watch.watch()
+    assert dials.dialled == [1, 2, 2] and bench.desk.tally.counts["list_errors"] == 1
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import re
 import signal
 import time
@@ -238,3 +239,49 @@
         except AssertionError as error:
             assert "settings: classes: at least one is needed" in str(error)
     asyncio.run(play())
+
+
+def replace_config(folder: Path, **changes: object) -> None:
+    path = folder / "config.json"
+    path.write_text(json.dumps({**json.loads(path.read_text()), **changes}))
+
+
+def test_a_new_configuration_moves_the_watch_at_once_and_nonsense_changes_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with town(tmp_path, ["UP r-0", "UP r-1"]) as here:
+            device = await here.device()
+            device.open()
+            assert (await device.line()).startswith("UP")
+            relay = here.relay
+            for nonsense in ("{", "[]", '{"settings": 3}', json.dumps({"settings": settings(), "limits": 4})):
+                whole = (tmp_path / "config.json").read_text()
+                (tmp_path / "config.json").write_text(nonsense)
+                relay.process.send_signal(signal.SIGHUP)
+                await relay.line("configuration not taken, the old one stays")
+                (tmp_path / "config.json").write_text(whole)
+            for _ in range(2):  # to another address, and to one more
+                old, new = here.discovery, Discovery()
+                new.members, new.revision = old.members, 1
+                await new.open()
+                replace_config(tmp_path, discovery=f"127.0.0.1:{new.port}")
+                watched = len(old.watches)
+                relay.process.send_signal(signal.SIGHUP)
+                await soon(new.asked.wait())
+                old.server.close()
+                for writer in old.watches:  # what the old address still says is no news, nor is its end
+                    writer.close()
+                assert len(old.watches) == watched, "the old address got a new connection"
+                here.discovery = new
+            here.discovery.tell("box-0", "DRAINING")
+            await relay.line("box-0 drains")
+            for _ in range(6):
+                fresh = await here.device()
+                fresh.open()
+                assert await fresh.line() == "UP r-1"
+            assert await device.ask("still") == "re:still"
+            counts = await relay.counters()
+            assert counts["reloads"] == 2 and counts["reloads_refused"] == 4 and "list_errors" not in counts
+            replace_config(tmp_path, limits={"sockets": 300})
+            relay.process.send_signal(signal.SIGHUP)
+            assert await relay.stop() == 0, "a planned stop right after"
+    asyncio.run(play())
