Leave an erring box; serve on while leaving; take in a crowd after a start; near boxes first

Now a box is suspected from the second plain ERR in a row on, and a single one, which may be the request's own doing, feeds no throttle. A node that starts without standing connections takes rough weights for cores for 10 s. Near boxes are sampled first and the split is tilted to them while the mean load is under 0.5.

--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -31,10 +31,11 @@
 BROUGHT_TRY_US = 9_000_000  # of which one attempt may take this, so that a lost one leaves time for others
 BROUGHT_TRIES = 4
 BROUGHT_WAIT_US = 500_000
-LEAVE_AFTER_US = 450_000  # on leaving: the front still sends carers here for 0.2 to 0.4 s
-LEAVE_BY_US = 2_700_000  # on leaving: the last carer is told by then
+LEAVE_AFTER_US = 1_700_000  # on leaving: visits are served until then. Guards against sending carers away
+# while the relay that left before is not back yet: for them there would be no relay at all
+LEAVE_BY_US = 3_000_000  # on leaving: the last carer is told by then
 LEAVE_STEP_US = 50_000
-GONE_BY_US = 3_200_000  # on leaving: the process ends by then; SIGKILL may come at 3.7 s
+GONE_BY_US = 3_250_000  # on leaving: the process ends by then; SIGKILL may come at 3.7 s
 
 
 class Desk:
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -29,10 +29,15 @@
 FRESH_US = 500_000  # us: a report this new needs no probe
 FADE_US = 4_000_000  # us: age at which a report has lost 1 - 1/e of its say
 TILT = 4.0  # power of spare capacity in the split
+FAR = 0.02  # tilt of a server in another zone, where crossings cost: taken when those near are much fuller
+CALM = 0.5  # mean load up to which crossings matter; above, every free place does
 LIMIT = 0.8  # load at which a server counts as full; loads swing, and near 1 work piles up
 POINTS = 16  # ring points of a mean server: evens out the gaps between servers
 SUSPECT_US = 1_000_000  # us: first suspicion after a connect failure, doubled by each further one
+ERRORS = 2  # plain errors in a row from which a server is suspected; a single one may be the request's doing
 SUSPECT_CAP_US = 8_000_000  # us: longest suspicion, so that a server that is back is found again
+NEW_US = 10_000_000  # us: so long after its start a node has seen too few connections to judge by
+MOST_CORES = 16.0  # cores: the most that a rough weight is believed
 LEAST_FULL = 10.0  # mean connections: what any server takes, until this node has seen enough to tell
 COLD_SAFETY = 0.5  # part of the cold budget used: nodes' estimates of capacity err
 MOVE_AT = 0.85  # load above which standing connections are moved away
@@ -75,6 +80,8 @@
         self._watch = partial(self._do, i.WatchList())
         self.watching = False
         self.mean_load = 0.5  # mean of reports seen
+        self.mean_weight = 1.0  # of ready servers
+        self.new_until = 0
         self.mean_work = 0.0  # mean work of connections seen, us a second
         self.logged: dict[str, int] = {}
         self.handlers: dict[type, Callable[[Any], object]] = {
@@ -82,7 +89,7 @@
             i.Established: self._established, i.Outcome: self._outcome, i.ProbeResult: self._probed,
             i.ClientGone: lambda e: self.jobs.pop(e.request, None),
             i.LoadNote: self._load_note, i.DelayNote: self._late, i.ListUpdate: self._list,
-            i.OpenConnection: lambda e: self._stand(e.request, e.server), i.ListError: self._list_error}
+            i.OpenConnection: self._open, i.ListError: self._list_error}
 
     def handle(self, now_us: int, event: i.Event) -> list[Action]:
         """Take one event at the clock time `now_us` and return what to do."""
@@ -93,6 +100,7 @@
     # ---- the server list
 
     def _list(self, update: i.ListUpdate) -> None:
+        self.new_until = self.new_until or self.now + NEW_US
         known, self.servers = self.servers, {} if update.whole else self.servers
         for entry in update.entries:
             server = known.get(entry.server)
@@ -162,7 +170,7 @@
             if server is None or name in job.missing or not self._usable(server, job):
                 continue
             spare = LIMIT - self._load(server)
-            weight = max(0.0, spare) ** TILT
+            weight = max(0.0, spare) ** TILT * (FAR if self._far(server) else 1.0)
             if weight <= 0 or not self._cold_allows(server, job):
                 continue
             fit += 1
@@ -225,7 +233,12 @@
             self._suspect(server)
         if server and outcome.result is Result.FULL:
             server.load, server.load_at, server.own = 1.0, self.now, 0.0
-        if outcome.result in (Result.ERROR, Result.TIMEOUT):
+        if server and outcome.result is Result.ERROR:
+            server.errors += 1
+            if server.errors >= ERRORS:
+                self._suspect(server, server.errors - ERRORS)
+        if outcome.result is Result.TIMEOUT or outcome.result is Result.ERROR and (
+                not server or server.errors >= ERRORS):  # one may be the request's own doing
             self.bad.add(self.now, 1)
         job = self.jobs.get(outcome.request)
         if job is None or outcome.final:
@@ -248,6 +261,11 @@
             self._stand(self.jobs.pop(event.request).request, event.server)
         if event.server in self.servers:
             self.servers[event.server].fails //= 2
+            self.servers[event.server].errors = 0
+
+    def _open(self, event: i.OpenConnection) -> None:
+        self.new_until = 1  # a node with a past: it knows what stands
+        self._stand(event.request, event.server)
 
     def _stand(self, request: i.Request, name: str) -> None:
         klass = self.s.classes[min(max(request.klass, 0), len(self.s.classes) - 1)]
@@ -360,11 +378,12 @@
         known = mean if server.load is None else server.load
         return mean + math.exp((server.load_at - self.now) / FADE_US) * (known - mean) + own
 
-    def _suspect(self, server: Server) -> None:
-        wait = min(SUSPECT_CAP_US, SUSPECT_US * 2**min(server.fails, 10))
-        server.fails += 1
-        server.suspect_until = self.now + int(self.random.uniform(0.5, 1) * wait)
-        self._log("suspect", f"server {server.entry.server} suspected after a connect failure or reset")
+    def _suspect(self, server: Server, errors: int | None = None) -> None:
+        """Others are preferred for a time, doubled by each further failure, or error in a row."""
+        wait = min(SUSPECT_CAP_US, SUSPECT_US * 2**min(server.fails if errors is None else errors, 10))
+        server.fails += errors is None
+        server.suspect_until = max(server.suspect_until, self.now + int(self.random.uniform(0.5, 1) * wait))
+        self._log("suspect", f"server {server.entry.server} suspected after a failure, a reset or errors")
 
     def _usable(self, server: Server, job: Job) -> bool:
         entry, scope = server.entry, job.klass.scope
@@ -387,12 +406,19 @@
             name = self.ring[bisect_left(self.ring, (point, "")) % len(self.ring)][1]
             if self._usable(self.servers[name], job):
                 (suspect if self.now < self.servers[name].suspect_until else found)[name] = None
-        return list(found or suspect)[:most]  # suspects rather than none: all may be suspect after a cut
+        among = list(found or suspect)  # suspects rather than none: all may be suspect after a cut
+        far = [n for n in among if self._far(self.servers[n])]
+        near = [n for n in among if n not in far]
+        return (near[:most - 1] + far[:1] + near[most - 1:] + far[1:])[:most]  # one way out of a full zone
+
+    def _far(self, server: Server) -> bool:
+        """Whether a connection there pays for its crossing between zones."""
+        return self.s.cross_zone > 0 and server.entry.zone != self.s.zone and self.mean_load < CALM
 
     def _build_ring(self) -> None:
         ready = [s.entry for s in self.servers.values() if s.entry.state is ServerState.READY]
         stable = self.s.weight_kind in (WeightKind.NOMINAL, WeightKind.ROUGH)
-        mean = sum(max(e.weight, 0.0) for e in ready) / len(ready) if ready else 1.0
+        self.mean_weight = mean = sum(max(e.weight, 0.0) for e in ready) / len(ready) if ready else 1.0
         self.ring = sorted(
             (crc32(f"{e.server}#{n}".encode()), e.server) for e in ready
             for n in range(max(1, round(POINTS * e.weight / mean)) if stable and mean > 0 else POINTS))
@@ -411,6 +437,10 @@
     def _full(self) -> float:
         """Mean connections that fill a server, from this node's part of them and the mean load."""
         one_core = 1e6 / self.mean_work if self.mean_work > 0 else 1.0  # a server has one core at the least
+        if self.s.weight_kind is WeightKind.ROUGH and self.now < self.new_until:
+            # Guards against refusing the crowd that comes to a node that has just started and knows few
+            # connections: there a rough weight counts a server's cores.
+            one_core *= min(max(self.mean_weight, 1.0), MOST_CORES)
         return max(len(self.connections) * self._part() / max(self.mean_load, 0.05), one_core, LEAST_FULL)
 
     def _part(self) -> float:
--- a/milletdeal/interface.py
+++ b/milletdeal/interface.py
@@ -112,6 +112,7 @@
     retry_after: bool = False
     max_retry_after_us: int = 0
     over_share_worth: float = 1.0
+    cross_zone: float = 0.0  # price of a request that crosses zones
     worth_by_work: bool = False
     passes_packets: bool = False
     groups: bool = False
@@ -137,7 +138,7 @@
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be 1 or more")
         for name in ("connect_timeout_us", "max_retry_after_us", "drain_grace_us", "cold_us", "zone",
-                     "tip_multiple", "over_share_worth"):
+                     "tip_multiple", "over_share_worth", "cross_zone"):
             if not getattr(self, name) >= 0:
                 raise ValueError(f"{name}: must not be negative")
         if not 0 <= self.start_capacity <= 1:
--- a/milletdeal/records.py
+++ b/milletdeal/records.py
@@ -17,6 +17,7 @@
     load_at: int = 0
     own: float = 0.0  # load that this node has sent since the report
     fails: int = 0  # connect failures, forgiven gradually
+    errors: int = 0  # plain errors in a row, since a connection last stood
     suspect_until: int = 0
     open: dict[int, None] = field(default_factory=dict)  # this node's standing connections
     tokens: float = 0.0  # this node's part of the cold budget, in mean connections
--- a/milletdeal/wire.py
+++ b/milletdeal/wire.py
@@ -85,6 +85,7 @@
         retry_after=bool(allow.get("retryAfter")),
         max_retry_after_us=int(allow.get("maxRetryAfterUs", 0)),
         over_share_worth=_number(info.get("overShareWorth"), 1.0),
+        cross_zone=_number((info.get("tariffs") or {}).get("crossZone")),
         worth_by_work=info.get("worthBy") == "work",
         passes_packets=family.get("mode") == "pass",
         groups=bool(family.get("groups")),
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -175,3 +175,73 @@
                        env={"PYTHONHASHSEED": seed, "PYTHONPATH": "."}).stdout
         for seed in ("0", "1", "77")}
     assert len(outputs) == 1 and "Start(" in outputs.pop()
+
+
+def test_a_server_that_errs_in_a_row_is_left_and_holds_nobody_else_back() -> None:
+    """Guards against one box that answers ERR at once, looks idle, draws all, and feeds the throttle."""
+    b = node(4, 1, **PROBED)
+    now, erring, errors, stood = 1_000, "s1", 0, 0
+    for n in range(60):
+        now += 150_000
+        starts = of(place(b, now, n, {"s0": 0.3, "s1": 0.1, "s2": 0.3, "s3": 0.3}), i.Start)
+        tried = [s.server for s in starts]
+        if tried == [erring]:
+            errors += 1
+            b.handle(now, i.Outcome(n, 0, erring, i.Result.ERROR))
+        elif tried:
+            stood += 1
+            b.handle(now, i.Established(n, 0, tried[0]))
+    assert errors <= 6 and stood >= 50
+
+
+def test_one_error_may_be_the_requests_own_doing() -> None:
+    """Guards against requests that a box can't use: its ERR to them must not tell against it."""
+    b = node(1, 1)
+    for n in range(40):
+        now = 1_000 + n * 20_000
+        (start,) = of(b.handle(now, i.Request(n, 2_000_000)), i.Start)
+        good = n % 2 == 0
+        b.handle(now, i.Established(n, 0, "s0") if good else i.Outcome(n, 0, start.server, i.Result.ERROR))
+    assert b.servers["s0"].suspect_until == 0 and b.bad.value == 0
+
+
+def far_and_near(load: float, price: float) -> list[str]:
+    chosen = []
+    for seed in range(60):
+        b = Balancer(i.Settings(**{**PROBED, "cross_zone": price, "zone": 1}), seed)
+        b.mean_load = load
+        b.handle(0, i.ListUpdate(tuple(i.ServerEntry(f"s{n}", zone=n % 2) for n in range(6))))
+        chosen += [a.server for a in of(place(b, 1_000, 1, {f"s{n}": load for n in range(6)}), i.Start)]
+    return chosen
+
+
+def test_near_servers_are_preferred_while_there_is_room_and_crossings_cost() -> None:
+    near = [sum(s in ("s1", "s3", "s5") for s in far_and_near(*told)) for told in
+            ((0.3, 0.1), (0.3, 0.0), (0.7, 0.1))]
+    assert near[0] >= 50 and near[1] < 45 and near[2] < 45
+
+
+def test_far_servers_are_taken_where_the_near_are_full() -> None:
+    b = Balancer(i.Settings(**{**PROBED, "cross_zone": 0.1, "zone": 1}), 1)
+    b.handle(0, i.ListUpdate((i.ServerEntry("near", zone=1), i.ServerEntry("far", zone=0))))
+    (start,) = of(place(b, 1_000, 1, {"near": 0.79, "far": 0.1}), i.Start)
+    assert start.server == "far"
+
+
+def crowd(**settings: Any) -> int:
+    """How many of a hundred that come within a second a node places that has just started."""
+    b = Balancer(i.Settings(**{**PROBED, "fleet_size": 2, **settings}), 1)
+    b.handle(0, i.ListUpdate(tuple(i.ServerEntry(f"s{n}", weight=4.0) for n in range(5))))
+    placed = 0
+    for n in range(100):
+        now = 1_000 + n * 10_000
+        starts = of(place(b, now, n, {f"s{k}": 0.2 for k in range(5)}), i.Start)
+        placed += len(starts)
+        if starts:
+            b.handle(now, i.Established(n, 0, starts[0].server))
+            b.handle(now, i.LoadNote(n, starts[0].server, 40_000.0))
+    return placed
+
+
+def test_a_node_that_has_just_started_takes_in_the_crowd_that_its_restart_sent_away() -> None:
+    assert crowd(weight_kind=i.WeightKind.ROUGH) > 90 > crowd()
