Give the QUIC tests' retransmissions their time

Seen: the port-change proof failed once in about twenty runs, at the tests' limit of 15 s against a hang; single runs took 3 to 21 s, at the commit before this work too (8 runs: 4.5 to 21.4 s). QUIC's doubling probe time-outs after a lost datagram explain the long ones; no verdict rests on the limit.

--- a/tests/standin.py
+++ b/tests/standin.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 BUSY_S = 0.5  # what a machine that is busy with other work may add to a figure, without another verdict
-PATIENCE_S = 15.0  # against a hang only; no verdict rests on it
+PATIENCE_S = 40.0  # against a hang only; no verdict rests on it
 
 
 def settings(aim_ms: int = 300, deadline_ms: int = 1500, **permissions: object) -> dict[str, Any]:
