Take back the crowd after a restart without counting it again; no load moves on leaving

And n0, leaving since 16.8 s, moved 20 carers off a box at 0.9 from 17.2 s on, when the front no longer came to it and n1 was not back: 1.7 s without any relay for each (desk.py _carry_out).

Now what comes back to a node that started without standing connections counts once and a quarter in the guard, for its first 10 s; and a leaving relay carries out no move off a box that goes on serving, all are told at the end. Moves off a draining box are carried out at once, as before.

Ruled out: the throttle (4 placements held back), attempts that failed (4, all of the box that errs).

--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -121,7 +121,8 @@
                     self._answer(visit, action)
             case i.Move():
                 visit = self.visits.get(action.request)
-                if visit:
+                # On leaving, a visit whose box goes on serving is told last: now no relay might take it in.
+                if visit and not (self.leaving and visit.attempt and self.serves(visit.attempt.box)):
                     self.move(visit)
             case i.Probe():
                 self.tally.add("probes")
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -36,6 +36,7 @@
 SUSPECT_US = 1_000_000  # us: first suspicion after a connect failure, doubled by each further one
 ERRORS = 2  # plain errors in a row from which a server is suspected; a single one may be the request's doing
 SUSPECT_CAP_US = 8_000_000  # us: longest suspicion, so that a server that is back is found again
+RETURN = 0.25  # of the guard against herding, for what comes back to a node that has just started
 NEW_US = 10_000_000  # us: so long after its start a node has seen too few connections to judge by
 MOST_CORES = 16.0  # cores: the most that a rough weight is believed
 LEAST_FULL = 10.0  # mean connections: what any server takes, until this node has seen enough to tell
@@ -182,7 +183,11 @@
                 best, best_score = name, score
         job.missing = {}  # guards against a second placement by probes that come back later
         # Guards against herding: what all nodes may send before it shows must fit into the spare capacity.
-        blind = self.asked.add(self.now, 1) * BLIND_US / MEMORY_US * self._part() / self._full()
+        # What comes back to a node that has just started is load that the servers bore a moment ago, and a
+        # crowd that waits must not count itself again and again.
+        back = self.now < self.new_until and job.request.came_back
+        asked = self.asked.add(self.now, not (back and job.rounds))
+        blind = (RETURN if back else 1.0) * asked * BLIND_US / MEMORY_US * self._part() / self._full()
         blind *= len(job.candidates) / max(1, fit) * (self.s.reports is not i.Reports.NONE)  # few meet all
         if not best or self.random.random() * blind > LIMIT - self._load(self.servers[best]):
             self.bad.add(self.now, FULL_SAY)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -244,6 +244,18 @@
     assert len(done) == 1 and done[0] - began <= 2_300_000
 
 
+def test_a_leaving_relay_moves_off_a_busy_box_at_the_end_only_and_off_a_draining_one_at_once() -> None:
+    bench = Bench()
+    busy, busy_carer, _ = bench.standing("box-1")
+    left, left_carer, _ = bench.standing("box-2")
+    bench.desk.leave(lambda: None)
+    bench.desk.listed(i.ListUpdate((i.ServerEntry("box-2", i.ServerState.DRAINING),), False))
+    bench.order(i.Move(busy.number), i.Move(left.number))
+    assert busy_carer.told == ["seat"] and left_carer.told == ["seat", "move"]
+    bench.wait(2_200_000)
+    assert busy_carer.told == ["seat", "move"]
+
+
 def test_a_box_that_ends_a_visit_ends_its_carer_the_same_way() -> None:
     bench = Bench()
     visit, carer, attempt = bench.standing()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -263,3 +263,21 @@
     """Guards against a box that stands at 0.86 for long while the others are half empty."""
     assert 2 <= moved_at(0.9, 0.3) <= 8
     assert not moved_at(0.8, 0.3) and not moved_at(0.9, 0.7) and not moved_at(0.9, 0.3, late_told=True)
+
+
+def test_what_comes_back_to_a_new_node_is_not_held_off_as_a_herd() -> None:
+    """Guards against a crowd sent away by a restart that counts itself anew with each wait."""
+    def placed(back: bool) -> int:
+        b, starts = node(2, 1, fleet_size=2, **PROBED), 0
+        for n in range(60):
+            probes = b.handle(1_000 * n, i.Request(n, 2_000_000, came_back=back))
+            for probe in of(probes, i.Probe):
+                probes = probes + b.handle(1_000 * n, i.ProbeResult(
+                    probe.server, i.Result.OK, report=i.LoadReport(0.2)))
+            for start in of(probes, i.Start):
+                starts += 1
+                b.handle(1_000 * n, i.Outcome(n, 0, start.server, i.Result.CANCELLED))
+            for server in b.servers.values():
+                server.own = 0.0
+        return starts
+    assert placed(True) > 2 * placed(False) > 0
