--- /dev/null
+++ b/gradefront/cli/__init__.py
@@ -0,0 +1,70 @@
+"""The command line: one file a group of verbs, imported when a verb of it runs."""
+
+from __future__ import annotations
+
+import importlib
+from typing import Any
+
+import click
+
+from gradefront import __version__
+from gradefront.config import ConfigError
+
+#: verb: (module, what it does). The text stands here so that --help imports no verb.
+VERBS = {
+    "check": ("check", "Check all files of settings, whole."),
+    "completion": ("completion", "Print the completion for a shell."),
+    "demo": ("labs", "A relay, push boxes and devices on loopback, told as it happens."),
+    "ids": ("ids", "Make and read connection ids of QUIC."),
+    "serve": ("serve", "Serve, as with no verb at all."),
+}
+NONSENSE = 2  # exit status: what was asked or set makes no sense
+
+
+class Verbs(click.Group):
+    """A group whose verbs are imported when they run."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """All verbs."""
+        return sorted(VERBS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """One verb."""
+        if cmd_name not in VERBS:
+            return None
+        module = importlib.import_module(f"{__name__}.{VERBS[cmd_name][0]}")
+        found: click.Command = getattr(module, cmd_name)
+        return found
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        """The list of verbs in --help."""
+        with formatter.section("Verbs"):
+            formatter.write_dl([(verb, what) for verb, (_, what) in sorted(VERBS.items())])
+
+
+@click.group(cls=Verbs, context_settings={"help_option_names": ["-h", "--help"]}, epilog="""\b
+Examples:
+  LB_CONFIG=relay.json gradefront            serve
+  gradefront check --config relay.json       check relay.json and deploy/quic.json
+  gradefront ids new-key                     a fresh key for ids
+  gradefront demo                            see it work, on loopback
+""")
+@click.version_option(__version__, prog_name="gradefront")
+def gradefront() -> None:
+    """The relay between carers' devices and push boxes."""
+
+
+def command(arguments: list[str] | None = None) -> int:
+    """Run a command line; the exit status. Bad input is one line on standard error and status 2."""
+    try:
+        done: Any = gradefront.main(arguments, prog_name="gradefront", standalone_mode=False)
+        return done if isinstance(done, int) else 0
+    except click.exceptions.NoArgsIsHelpError as error:
+        click.echo(error.format_message())
+        return NONSENSE
+    except (click.ClickException, ConfigError, ValueError) as error:
+        said = error.format_message() if isinstance(error, click.ClickException) else str(error)
+        click.echo(f"gradefront: {' '.join(said.split())}", err=True)
+        return NONSENSE
+    except click.Abort:
+        return 130
--- /dev/null
+++ b/gradefront/cli/ids.py
@@ -0,0 +1,93 @@
+"""`ids`: connection ids of draft-ietf-quic-load-balancers, made and read by hand."""
+
+from __future__ import annotations
+
+import json
+import os
+from typing import Any
+
+import click
+
+from gradefront.quic.ids import KEY_LENGTH, UNROUTABLE, IdForm
+
+
+class Hex(click.ParamType[bytes]):
+    """Octets as hex digits. The text isn't repeated in an error: it may be a key."""
+
+    name = "hex"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> bytes:
+        """Octets."""
+        if isinstance(value, bytes):
+            return value
+        try:
+            return bytes.fromhex(value)
+        except ValueError:
+            self.fail("not hex digits", param, ctx)
+
+
+HEX = Hex()
+
+
+@click.group(epilog="""\b
+Examples:
+  gradefront ids decode --server-id-length 3 --nonce-length 5 0831441a9c69c27512
+  gradefront ids encode --server-id 31441a --nonce 9c69c27512
+  gradefront ids new-key
+""")
+def ids() -> None:
+    """Make and read connection ids of QUIC."""
+
+
+@ids.command()
+@click.option("--key", type=HEX, help="16 octets; without it the plaintext form is read.")
+@click.option("--server-id-length", type=int, required=True, help="Octets of the server id, 1 to 15.")
+@click.option("--nonce-length", type=int, required=True, help="Octets of the nonce, 4 to 18.")
+@click.option("--noise", is_flag=True, help="The first octet's low five bits tell no length.")
+@click.argument("connection_id", type=HEX, metavar="CIDHEX")
+def decode(key: bytes | None, server_id_length: int, nonce_length: int, noise: bool,
+           connection_id: bytes) -> None:
+    """Print what an id holds, as one JSON object: config_id, server_id and nonce."""
+    if not connection_id:
+        raise ValueError("CIDHEX: empty")
+    number = connection_id[0] >> 5
+    if number == UNROUTABLE:
+        raise ValueError("CIDHEX: of configuration 7, which names no push box")
+    form = IdForm(number, server_id_length, nonce_length, not noise, key)
+    if len(connection_id) != form.length:
+        raise ValueError(f"CIDHEX: has {len(connection_id)} octets, not {form.length}")
+    found = form.decode(connection_id)
+    if found is None:
+        raise ValueError(f"CIDHEX: tells a length of {connection_id[0] & 0x1F}, not {form.length - 1}")
+    click.echo(json.dumps({"config_id": found.config_id, "server_id": found.server_id.hex(),
+                           "nonce": found.nonce.hex()}))
+
+
+@ids.command()
+@click.option("--key", type=HEX, help="16 octets; without it the plaintext form is made.")
+@click.option("--config-id", type=int, default=0, show_default=True, help="Configuration, 0 to 6.")
+@click.option("--server-id", type=HEX, required=True, help="The push box's server id.")
+@click.option("--nonce", type=HEX, help="The nonce; a fresh one of --nonce-length where none is given.")
+@click.option("--nonce-length", type=int, help="Octets of a fresh nonce.")
+@click.option("--server-id-length", type=int, help="Checked against --server-id, if given.")
+@click.option("--noise", is_flag=True, help="Fill the first octet's low five bits with noise.")
+def encode(key: bytes | None, config_id: int, server_id: bytes, nonce: bytes | None, nonce_length: int | None,
+           server_id_length: int | None, noise: bool) -> None:
+    """Print an id, as one JSON object: cid, config_id, server_id and nonce."""
+    if nonce is None:
+        if nonce_length is None:
+            raise ValueError("--nonce: give one, or --nonce-length for a fresh one")
+        nonce = os.urandom(max(0, nonce_length))
+    if nonce_length not in (None, len(nonce)):
+        raise ValueError(f"--nonce: has {len(nonce)} octets, not {nonce_length}")
+    if server_id_length not in (None, len(server_id)):
+        raise ValueError(f"--server-id: has {len(server_id)} octets, not {server_id_length}")
+    form = IdForm(config_id, len(server_id), len(nonce), not noise, key)
+    click.echo(json.dumps({"cid": form.make(server_id, nonce).hex(), "config_id": config_id,
+                           "server_id": server_id.hex(), "nonce": nonce.hex()}))
+
+
+@ids.command("new-key")
+def new_key() -> None:
+    """Print a fresh key of 16 octets in hex. Keep it in a file that only its owner may read."""
+    click.echo(os.urandom(KEY_LENGTH).hex())
--- a/gradefront/quic/config.py
+++ b/gradefront/quic/config.py
@@ -1,26 +1,34 @@
-"""The second front's file: where it listens, and which push box is meant by which id."""
+"""The second front's file: where it listens, which push box is meant by which id, and what its door bears.
+
+The file is checked whole, and an error names file, field and value. What is read of it is typed by msgspec, which
+is imported only where the front is on or checked.
+"""
 
 from __future__ import annotations
 
-import json
-from dataclasses import dataclass
+import os
+import stat
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from gradefront.config import Address, Config, ConfigError, address
 
-from .ids import IdForm
+from .ids import IdBook, IdForm
+from .switch import FILE
+from .tokens import TokenKey
 
-FILE = Path(__file__).resolve().parent.parent.parent / "deploy" / "quic.json"
+KEY_FILE_MODE = 0o077  # nobody but the owner may read or write a file of keys
 
 
 @dataclass(frozen=True)
 class QuicBox:
     """A push box as the second front reaches it."""
 
-    server_id: bytes
+    server_ids: tuple[bytes, ...]
     address: Address
-    reset_key: bytes
+    reset_key: bytes = field(repr=False)
 
 
 @dataclass(frozen=True)
@@ -28,55 +36,172 @@
     """The second front's settings."""
 
     listen: dict[int, Address]  # by class
-    form: IdForm
+    forms: tuple[IdForm, ...]
     boxes: dict[str, QuicBox]
     path_idle_us: int
     visit_idle_us: int
+    confirm_us: int
     most_paths: int
+    most_ports: int
+    port_share: int
     most_waiting: int
-
-    def box_of(self, server_id: bytes | None) -> str | None:
-        """The push box that a server id names."""
-        return next((name for name, box in self.boxes.items() if box.server_id == server_id), None)
-
-
-def load(config: Config, path: Path) -> QuicConfig | None:
-    """Read the file; None where there is none or the front is off."""
+    limits: Any  # routing.admission.Limits
+    token_keys: dict[int, TokenKey] = field(repr=False)
+    newest_token_key: int = 0
+    token_life_us: int = 10_000_000
+    class_of_protocol: dict[str, int] = field(default_factory=dict)
+    class_of_name: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def form(self) -> IdForm:
+        """The first configuration."""
+        return self.forms[0]
+
+    def book(self) -> IdBook:
+        """A book of all configurations."""
+        return IdBook(self.forms)
+
+    def server_ids(self) -> dict[tuple[int, bytes], str]:
+        """Push boxes by configuration and server id."""
+        return {(form.number, server_id): name for name, box in self.boxes.items()
+                for server_id in box.server_ids for form in self.forms
+                if len(server_id) == form.server_id_length}
+
+
+def parse(told: dict[str, Any], config: Config, path: Path = FILE) -> QuicConfig:
+    """The settings from the file's object; an error names file, field and value."""
+    from .settings import QuicFile, checked
     try:
-        told = json.loads(path.read_bytes())
-    except FileNotFoundError:
-        return None
-    except (OSError, ValueError) as error:
+        return _build(checked(told, QuicFile), config, path.parent)
+    except (ValueError, ConfigError) as error:
         raise ConfigError(f"{path.name}: {error}") from None
-    if not isinstance(told, dict):
-        raise ConfigError(f"{path.name}: not an object")
-    return parse(told, config) if told.get("on") else None
 
 
-def parse(told: dict[str, Any], config: Config) -> QuicConfig:
-    """The settings from the file's object; an error names the field."""
+def _build(file: Any, config: Config, folder: Path) -> QuicConfig:
+    forms = _forms(file, folder)
+    boxes = _boxes(file, forms)
+    limits, prove = _limits(file), file.retry
+    keys = {key.sequence: TokenKey(_secret(key.key, key.key_file, 16, f"retry.keys[{n}]", folder),
+                                   _hex(key.iv, f"retry.keys[{n}].iv", 12))
+            for n, key in enumerate(prove.keys)}
+    if len(keys) < len(prove.keys):
+        raise ValueError("retry.keys: two have the same sequence")
+    newest = prove.newest if prove.newest is not None else (prove.keys[-1].sequence if prove.keys else 0)
+    if prove.mode != "never" and newest not in keys:
+        raise ValueError(f"retry.newest: {newest}: no key has this sequence, and mode is '{prove.mode}'")
+    return QuicConfig(
+        listen={_class(name, config, "listen"): address(where, f"listen.{name}")
+                for name, where in file.listen.items()},
+        forms=forms, boxes=boxes, path_idle_us=round(file.path_idle_s * 1e6),
+        visit_idle_us=round(file.visit_idle_s * 1e6), confirm_us=round(file.confirm_s * 1e6),
+        most_paths=file.most_paths, most_ports=file.most_ports, port_share=file.port_share,
+        most_waiting=file.most_waiting, limits=limits, token_keys=keys, newest_token_key=newest,
+        token_life_us=round(prove.life_s * 1e6),
+        class_of_protocol={p: _class(name, config, f"classes.alpn.{p}")
+                           for p, name in file.classes.alpn.items()},
+        class_of_name={n.lower(): _class(name, config, f"classes.sni.{n}")
+                       for n, name in file.classes.sni.items()})
+
+
+def _class(name: str, config: Config, where: str) -> int:
+    if name not in config.class_names:
+        raise ValueError(f"{where}: no class is named '{name}'")
+    return config.class_names.index(name)
+
+
+def _forms(file: Any, folder: Path) -> tuple[IdForm, ...]:
+    told = list(file.ids)
+    if not told:  # the form of before: one configuration, its fields beside all others
+        for name in ("config_id", "server_id_length", "nonce_length"):
+            if getattr(file, name) is None:
+                raise ValueError(f"{name}: missing")
+        return (IdForm(file.config_id, file.server_id_length, file.nonce_length, file.id_tells_length),)
+    forms = []
+    for n, one in enumerate(told):
+        key = _secret(one.key, one.key_file, 16, f"ids[{n}]", folder) if one.key or one.key_file else None
+        try:
+            forms.append(IdForm(one.config_id, one.server_id_length, one.nonce_length, one.tells_length, key))
+        except ValueError as error:
+            raise ValueError(f"ids[{n}].{error}") from None
+    try:
+        IdBook(forms)
+    except ValueError as error:
+        raise ValueError(f"ids: {error}") from None
+    return tuple(forms)
+
+
+def _boxes(file: Any, forms: Iterable[IdForm]) -> dict[str, QuicBox]:
+    from .settings import Box, checked
+    lengths = {form.server_id_length for form in forms}
+    boxes: dict[str, QuicBox] = {}
+    owners: dict[bytes, str] = {}
+    for name, entry in file.boxes.items():
+        box = checked(entry, Box, f"boxes.{name}")
+        texts = ([box.server_id] if box.server_id else []) + list(box.server_ids)
+        if not texts:
+            raise ValueError(f"boxes.{name}.server_id: missing")
+        ids = []
+        for text in texts:
+            server_id = _hex(text, f"boxes.{name}.server_id")
+            if len(server_id) not in lengths:
+                expected = " or ".join(map(str, sorted(lengths)))
+                raise ValueError(f"boxes.{name}.server_id: '{text}' is not {expected} octets")
+            if server_id in owners:
+                raise ValueError(f"boxes.{name}.server_id: '{text}': {owners[server_id]} has the same server_id")
+            owners[server_id] = name
+            ids.append(server_id)
+        boxes[name] = QuicBox(tuple(ids), address(box.address, f"boxes.{name}.address"),
+                              _hex(box.reset_key, f"boxes.{name}.reset_key"))
+    return boxes
+
+
+def _limits(file: Any) -> Any:
+    from gradefront.routing.admission import Limits, Prove
+    from gradefront.routing.networks import NetworkSet, Prefixes
+    told = file.limits
+    sets = []
+    for name in ("allow", "deny"):
+        try:
+            sets.append(NetworkSet(getattr(told, name)))
+        except ValueError as error:
+            raise ValueError(f"limits.{name}: {error}") from None
+    allow, deny = sets
+    if both := allow.overlap(deny):
+        raise ValueError(f"limits.deny: '{both}' is in limits.allow too")
+    try:
+        prefixes = Prefixes(told.prefix_v4, told.prefix_v6)
+    except ValueError as error:
+        raise ValueError(f"limits.{error}") from None
+    return Limits(
+        prove=Prove(file.retry.mode), pressure=told.pressure, address_rate=told.address_rate,
+        address_burst=told.address_burst, network_rate=told.network_rate, network_burst=told.network_burst,
+        unknown_rate=told.unknown_rate, refusal_rate=told.refusal_rate, cpu_share=told.cpu_share,
+        most_waiting=file.most_waiting, allow=allow, deny=deny, prefixes=prefixes)
+
+
+def _hex(text: str, where: str, length: int = 0) -> bytes:
+    """Octets from hex. The text itself is not repeated where it might be a key."""
+    try:
+        octets = bytes.fromhex(text)
+    except ValueError:
+        raise ValueError(f"{where}: not hex digits") from None
+    if length and len(octets) != length:
+        raise ValueError(f"{where}: must be {length} octets, has {len(octets)}")
+    return octets
+
+
+def _secret(text: str, file: str, length: int, where: str, folder: Path) -> bytes:
+    """A key that is told here, or in a file that only its owner may read."""
+    if bool(text) is bool(file):
+        raise ValueError(f"{where}: needs one of key and key_file")
+    if text:
+        return _hex(text, f"{where}.key", length)
+    path = folder / file
     try:
-        form = IdForm(int(told["config_id"]), int(told["server_id_length"]), int(told["nonce_length"]),
-                      bool(told.get("id_tells_length", True)))
-        listen = {}
-        for name, where in told["listen"].items():
-            if name not in config.class_names:
-                raise ValueError(f"listen: no class is named '{name}'")
-            listen[config.class_names.index(name)] = address(where, f"listen.{name}")
-        boxes = {}
-        for name, box in told["boxes"].items():
-            server_id = bytes.fromhex(box["server_id"])
-            if len(server_id) != form.server_id_length:
-                raise ValueError(f"boxes.{name}.server_id: not {form.server_id_length} bytes")
-            boxes[name] = QuicBox(server_id, address(box["address"], f"boxes.{name}.address"),
-                                  bytes.fromhex(box["reset_key"]))
-        if len({b.server_id for b in boxes.values()}) < len(boxes):
-            raise ValueError("boxes: two have the same server_id")
-        return QuicConfig(
-            listen, form, boxes, int(float(told.get("path_idle_s", 20)) * 1e6),
-            int(float(told.get("visit_idle_s", 30)) * 1e6), int(told.get("most_paths", 256)),
-            int(told.get("most_waiting", 256)))
-    except KeyError as error:
-        raise ConfigError(f"quic.json: {error.args[0]}: missing") from None
-    except (ValueError, TypeError, AttributeError) as error:
-        raise ConfigError(f"quic.json: {error}") from None
+        with path.open() as opened:
+            mode = os.fstat(opened.fileno()).st_mode
+            if not stat.S_ISREG(mode) or mode & KEY_FILE_MODE:
+                raise ValueError(f"{where}.key_file: '{file}': others may read it; its mode must be 600")
+            return _hex(opened.read(4_096).strip(), f"{where}.key_file: '{file}'", length)
+    except OSError as error:
+        raise ValueError(f"{where}.key_file: '{file}': {error.strerror}") from None
--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -1,253 +1,192 @@
 """The QUIC front: an Initial with an unknown id is a visit that the core places; later packets go by id.
 
 Packets pass through, and QUIC ends at the push box. This front reads headers, and the payload of Initial
-packets only, whose keys anyone on the path can derive.
+packets only, whose keys anyone on the path can derive. A datagram's way: `paths.Door` (known path: straight to
+its push box) or `take` below; back through `paths.Port`.
 """
 
 from __future__ import annotations
 
 import logging
-from collections import OrderedDict
+import os
+import time
+from collections import OrderedDict, deque
 from collections.abc import Iterator
-from contextlib import suppress
-from typing import Any
-
-from aioquic.quic.packet import QuicErrorCode, QuicPacketType
+from itertools import islice
 
 from gradefront.config import Address, Config
 from gradefront.core.desk import Desk
 from gradefront.core.ports import BoxLeg, Call, Ending
-from gradefront.core.shortfall import Cause, Reach
-from gradefront.core.visit import Attempt, Stage, Visit
+from gradefront.core.shortfall import Cause
+from gradefront.core.visit import Attempt
 from gradefront.net.reactor import Reactor
+from gradefront.routing.admission import Admission, Verdict
+from gradefront.routing.buckets import Bucket
 from milletdeal.interface import ServerState
 
 from .config import QuicConfig
-from .packets import (
+from .headers import (
+    KINDS,
     LEAST_ID,
     LEAST_INITIAL,
+    LONG,
+    Invariants,
+    Kind,
     Packet,
-    close_initial,
-    open_initial,
-    sound_retry,
+    invariants,
     split,
     stateless_reset,
-    unknown_version,
+    version_negotiation,
 )
-from .paths import LONGEST_DATAGRAM, Door, Path
+from .hello import HelloReader
+from .ids import UNROUTABLE
+from .initials import INVALID_TOKEN, Opened, close_initial, make_retry, open_initial
+from .paths import Door, Path, Port, PortPool
+from .tokens import Standing, TokenMint
+from .visits import QuicLeg, QuicVisit, brought_over
 
 log = logging.getLogger("gradefront.quic")
 
-KEPT = 12  # datagrams of a waiting client, for the next push box
-IDS = 16  # ids remembered for one visit
 ANSWERED_US = 10_000_000  # how long a given answer is repeated to a client that asks with the same id
-MOST_ANSWERED = 1_024
-SWEEP_US = 1_000_000
+MOST_ANSWERED = 4_096
+MOST_USED_TOKENS = 16_384
+HELLO_US = 250_000  # how long a ClientHello in pieces is waited for; then the port tells the class
+TICK_US = 125_000  # between two looks at a part of the tables; all are looked at in eight of them
+TICKS = 8
 SILENT_US = 5_000_000  # a push box that answers none of several datagrams for so long is gone
 SILENT_DATAGRAMS = 4
 QUIET_US = 5_000_000  # devices speak every 2 s: one quiet for longer may have gone on at another address
-
-
-class QuicVisit:
-    """One QUIC connection, as the core's carer side. It may use many client addresses and ids."""
-
-    def __init__(self, front: QuicFront, door: Door, first: Packet, client: Address) -> None:
-        self.front = front
-        self.door = door
-        self.first_id = first.header.destination_cid
-        self.client_id = first.header.source_cid
-        self.version = first.header.version or 0
-        self.client = client  # the address that it used last
-        self.last_id = b""  # the push box's id that it used last
-        self.kept: list[bytes] = []
-        self.ids: OrderedDict[bytes, None] = OrderedDict()
-        self.leg: QuicLeg | None = None
-        self.visit: Visit | None = None
-        self.used_us = front.desk.clock()
-        self.unanswered = 0
-        self.unanswered_us = 0
-        self.learn(self.first_id)
-
-    def learn(self, an_id: bytes) -> None:
-        """An id is this connection's."""
-        if an_id not in self.ids:
-            self.ids[an_id] = None
-            self.front.ids[an_id] = self
-            if len(self.ids) > IDS:
-                self.front.ids.pop(self.ids.popitem(last=False)[0], None)
-
-    def forget(self) -> None:
-        """None of its ids is known any more."""
-        for an_id in self.ids:
-            self.front.ids.pop(an_id, None)
-        self.ids.clear()
-        self.front.visits.discard(self)
-
-    def waiting(self, datagram: bytes, client: Address) -> None:
-        """A datagram before the visit stands: kept for the next push box, and sent to the present one."""
-        self.client = client
-        if datagram not in self.kept:
-            self.kept = [*self.kept[:1], *self.kept[1:][-KEPT + 2:], datagram]
-        if self.leg:
-            self.leg.send(datagram, client)
-
-    # ---- as the core's carer side
-
-    def seat(self, leg: BoxLeg, receipt: object) -> None:
-        """The push box's first sound answer goes to the client; from here on packets go by id."""
-        assert isinstance(receipt, tuple)
-        path, datagram = receipt
-        self.kept = []
-        self.door.reply(datagram, path.client)
-
-    def refuse(self, pause_us: int) -> None:
-        """The final answer: a close, with the advised pause as its reason."""
-        self._close(f"BUSY {-(-pause_us // 1000)}" if pause_us else "BUSY")
-
-    def fail(self) -> None:
-        """The final answer: a close that advises nothing."""
-        self._close("ERR")
-
-    def _close(self, reason: str) -> None:
-        datagram = close_initial(self.version, self.first_id, self.client_id, reason)
-        self.front.answer(self.first_id, datagram)
-        self.door.reply(datagram, self.client)
-        self.forget()
-
-    def move(self) -> None:
-        """A stateless reset, which the client takes as the push box's own: it comes again with an Initial."""
-        if self.leg:
-            self.front.adopt(self, self.leg.attempt.box)
-        self._reset()
-
-    def end(self, how: Ending) -> None:
-        """The push box is gone: the client learns by a reset rather than by its own idle time."""
-        self._reset()
-
-    def _reset(self) -> None:
-        box = self.front.quic.boxes.get(self.leg.attempt.box) if self.leg else None
-        if box:
-            if self.last_id:
-                self.door.reply(stateless_reset(box.reset_key, self.last_id), self.client)
-            for an_id in self.ids:
-                self.front.left(an_id, box.reset_key)
-        self.forget()
-
-
-class QuicLeg:
-    """One attempt at a push box, and after it the visit's place there."""
-
-    def __init__(self, front: QuicFront, owner: QuicVisit, attempt: Attempt) -> None:
-        self.front = front
-        self.owner = owner
-        self.attempt = attempt
-
-    def begin(self) -> None:
-        """Send all that the client has sent so far."""
-        for datagram in list(self.owner.kept):
-            self.send(datagram, self.owner.client)
-        self.attempt.came(Reach.SENT)
-
-    def send(self, datagram: bytes, client: Address) -> None:
-        """To the push box. Guards against a retransmit that opens a connection at a box told to drain."""
-        if self.attempt.may_send():
-            self.attempt.came(Reach.WRITING)
-            path = self.front.path(client, self.attempt.box, self.owner)
-            if path:
-                path.send(datagram, self.front.desk.clock())
-
-    def heard(self, path: Path, datagram: bytes) -> None:
-        """From the push box while the attempt is out: only a sound answer counts."""
-        owner = self.owner
-        for packet in split(datagram, len(owner.client_id)):
-            header = packet.header
-            if header.destination_cid != owner.client_id:
-                break
-            if header.packet_type is QuicPacketType.VERSION_NEGOTIATION:
-                if header.source_cid == owner.first_id:
-                    self.attempt.ends(Cause.ERROR)
-                    return
-                break
-            if sound_retry(packet, owner.first_id):
-                self._stands(header.source_cid, path, datagram)
-                return
-            opened = open_initial(packet, owner.first_id, from_client=False)
-            if opened and opened.close_code is not None:
-                full = opened.close_code == QuicErrorCode.CONNECTION_REFUSED
-                self.attempt.ends(Cause.FULL if full else Cause.ERROR)
-                return
-            if opened:
-                self._stands(header.source_cid, path, datagram)
-                return
-        self.front.drop("unsound_answer")
-
-    def _stands(self, box_id: bytes, path: Path, datagram: bytes) -> None:
-        self.owner.learn(box_id)
-        self.owner.last_id = box_id
-        self.attempt.stands((path, datagram))
-
-    def hang_up(self, how: Ending) -> None:
-        """Its ports are closed, so that what the push box still sends reaches nobody."""
-        self.front.close_paths(self.owner)
-        if self.owner.leg is self and self.owner.visit and self.owner.visit.stage is Stage.REACHING:
-            self.owner.leg = None
+ALONE_US = 6_000_000  # a path that no visit took over by then is a visit of its own
+START_US = 10_000_000  # after a start paths are adopted at once: no visit of ours can have left them
+EXCHANGES = 2  # datagrams each way that show a connection which goes on
+PATH_IDS = 8  # ids remembered for one path
+NEGOTIATIONS = 100.0  # a second
+RETRIES = 10_000.0  # a second: what one core can make
+SERVING = (ServerState.READY, ServerState.DRAINING)
 
 
 class QuicFront:
-    """The front's tables: visits by id, paths by client address, answers given."""
+    """The front's tables. `owners`: visits by id; `routes`: paths by id, for the door; `lone`: paths that no
+    visit has, by client address and push box; `answered` and `moved`: answers given, by id."""
 
     def __init__(self, config: Config, quic: QuicConfig, desk: Desk, reactor: Reactor) -> None:
         self.config = config
-        self.quic = quic
         self.desk = desk
         self.reactor = reactor
-        self.visits: set[QuicVisit] = set()
-        self.ids: dict[bytes, QuicVisit] = {}
-        self.paths: OrderedDict[tuple[Address, str, QuicVisit | None], Path] = OrderedDict()
+        self.now = desk.clock
+        self.visits: dict[QuicVisit, None] = {}
+        self.unconfirmed: OrderedDict[QuicVisit, None] = OrderedDict()
+        self.owners: dict[bytes, QuicVisit] = {}
+        self.routes: dict[bytes, Path] = {}
+        self.route_ids: dict[Path, deque[bytes]] = {}  # every path, oldest first, with its ids in `routes`
+        self.lone: dict[tuple[Address, str], Path] = {}
         self.latest: dict[tuple[Address, str], Path] = {}
         self.answered: OrderedDict[bytes, tuple[bytes, int]] = OrderedDict()
         self.moved: OrderedDict[bytes, tuple[bytes, int]] = OrderedDict()
-        self.server_ids = {box.server_id: name for name, box in quic.boxes.items()}
-        self.doors: list[Any] = []
-        for klass, (host, port) in quic.listen.items():
-            door = Door(klass, self.take)
-            self.doors.append(reactor.listenUDP(port, door, host, LONGEST_DATAGRAM))
-        desk.after(SWEEP_US, self._sweep)
+        self.used_tokens: OrderedDict[bytes, None] = OrderedDict()
+        self.lengths = [0] * 8  # of ids, by configuration: shared with the doors, changed in place
+        self.began_us = self.now()
+        self.negotiations = Bucket(NEGOTIATIONS, NEGOTIATIONS, self.began_us)
+        self.retries = Bucket(RETRIES, RETRIES / 4, self.began_us)
+        self.looks: Iterator[QuicVisit] = iter(())
+        self.states: dict[str, bool] = {}
+        self.admission = Admission(quic.limits, self.began_us)
+        self.configure(quic)
+        # Loopback push boxes are reached from loopback, others from wherever the system says.
+        hosts = {box.address[0] for box in quic.boxes.values()}
+        host = "::" if any(":" in h for h in hosts) else "0.0.0.0"  # noqa: S104 - replies only from push boxes
+        self.pool = PortPool(reactor, host, quic.most_ports, quic.port_share, self._heard, self._refused,
+                             desk.tally.add)
+        self.doors = [Door(reactor, klass, where, self.routes, self.lengths, self.take)
+                      for klass, where in quic.listen.items()]
+        desk.after(TICK_US, self._tick)
+
+    def configure(self, quic: QuicConfig) -> None:
+        """Take settings, at the start or while serving: ids, boxes, keys, limits. What stands goes on; paths to
+        a push box that has another address now are closed, and the next datagram opens them anew."""
+        self.quic = quic
+        self.book = quic.book()
+        self.lengths[:] = self.book.lengths
+        self.server_ids = quic.server_ids()
+        admission = Admission(quic.limits, self.now())
+        admission.proven = self.admission.proven  # who has shown to be there, has
+        self.admission = admission
+        for owner in self.visits:
+            if owner.waits:
+                self.admission.enter(owner.network)
+        self.mint = None
+        if quic.token_keys:
+            self.mint = TokenMint(quic.token_keys, quic.newest_token_key, quic.token_life_us)
+        for path in list(self.route_ids):
+            box = quic.boxes.get(path.box)
+            if box is None or box.address != path.where:
+                self._close_path(path)
 
     def drop(self, why: str) -> None:
         """Count a datagram that goes nowhere."""
         self.desk.tally.add(f"quic_dropped_{why}")
 
+    def levels(self) -> dict[str, int]:
+        """Present sizes of the tables, for the counters."""
+        return {"quic_visits_now": len(self.visits), "quic_paths_now": len(self.route_ids),
+                "quic_ports_now": len(self.pool.ports), "quic_ids_now": len(self.owners) + len(self.routes),
+                "quic_passed": sum(door.passed for door in self.doors),
+                "quic_under_pressure": int(self.admission.under_pressure)}
+
     # ---- from clients
 
     def take(self, door: Door, datagram: bytes, client: Address) -> None:
-        """A client's datagram."""
+        """A client's datagram that the door knows no path for."""
         self.desk.tally.add("quic_datagrams_in")
-        if unknown_version(datagram):
-            self.drop("version")
+        if not datagram:
+            self.drop("malformed")
+        elif datagram[0] & LONG:
+            self._long(door, datagram, client)
+        elif an_id := self.book.id_of(datagram):
+            self._by_id(door, an_id, datagram, client)
+        else:
+            self.drop("malformed" if len(datagram) < 21 else "unknown_id")
+
+    def _long(self, door: Door, datagram: bytes, client: Address) -> None:
+        head = invariants(datagram)
+        if head is None or head.version == 0:  # RFC 9000 6.1: never an answer to Version Negotiation
+            self.drop("malformed")
+            return
+        if head.version not in KINDS:
+            self._other_version(door, head, datagram, client)
             return
-        packets = split(datagram, self.quic.form.length)
+        packets = split(datagram)
         if not packets:
             self.drop("malformed")
             return
         first = packets[0]
-        header = first.header
-        an_id = header.destination_cid
-        owner = self.ids.get(an_id)
-        if owner is None and header.packet_type is QuicPacketType.INITIAL:
-            self._initial(door, first, datagram, client)
-        elif owner and owner.visit and owner.visit.stage is not Stage.STANDING:
-            if self._client_closed(owner, packets):
-                self.desk.carer_left(owner.visit, Ending.ORDERLY)
-                owner.forget()
-            else:
-                owner.waiting(datagram, client)
-        else:
-            self._by_id(door, an_id, owner, datagram, client)
+        owner = self.owners.get(first.to_id)
+        if owner is None and first.kind is Kind.INITIAL:
+            self._initial(door, packets, datagram, client)
+        elif owner and not owner.stands:
+            self._before_it_stands(owner, packets, datagram, client)
+        elif owner or first.kind is Kind.HANDSHAKE:
+            self._by_id(door, first.to_id, datagram, client)
+        else:  # 0-RTT without its Initial, or what no client sends
+            self.drop("unknown_id")
 
-    def _initial(self, door: Door, first: Packet, datagram: bytes, client: Address) -> None:
+    def _other_version(self, door: Door, head: Invariants, datagram: bytes, client: Address) -> None:
+        """RFC 9000 6 and RFC 8999: on a connection that stands, ids alone count; else we tell our versions."""
+        owner = self.owners.get(head.to_id)
+        if owner and owner.stands:
+            self._by_id(door, head.to_id, datagram, client)
+            return
+        self.drop("version")
+        if len(datagram) >= LEAST_INITIAL and self.negotiations.take(self.now()):
+            self.desk.tally.add("quic_negotiations")
+            door.reply(version_negotiation(head), client)
+
+    # ---- requests
+
+    def _initial(self, door: Door, packets: list[Packet], datagram: bytes, client: Address) -> None:
         """An Initial whose id no visit has: a request, whatever push box the id happens to name."""
-        an_id = first.header.destination_cid
+        first = packets[0]
+        an_id = first.to_id
         if an_id in self.answered:  # the answer was lost, or crossed with this: it is given again, not anew
             self.drop("answered")
             door.reply(self.answered[an_id][0], client)
@@ -255,128 +194,270 @@
         if len(datagram) < LEAST_INITIAL or len(an_id) < LEAST_ID:
             self.drop("malformed")
             return
-        opened = open_initial(first, an_id, from_client=True)
-        if opened is None or opened.close_code is not None:
-            self.drop("malformed" if opened is None else "closed")
+        now = self.now()
+        shown = self.mint.read(first.token, client[:2], an_id, now) if self.mint and first.token else None
+        if shown and shown.standing not in (Standing.NONE, Standing.PROVEN):
+            self._bad_token(door, first, client, shown.standing, now)
             return
-        if sum(1 for v in self.visits if v.visit and v.visit.stage is not Stage.STANDING) \
-                >= self.quic.most_waiting:
-            self.drop("no_room")
+        proven = shown is not None and shown.standing is Standing.PROVEN
+        if proven and shown and shown.number in self.used_tokens:
+            self.drop("token_replayed")
             return
-        owner = QuicVisit(self, door, first, client)
-        self.visits.add(owner)
+        verdict, pause_us = self.admission.judge(now, client[0], an_id, proven)
+        if verdict is Verdict.TAKE:
+            opened = self._open(first, an_id)
+            if opened is None or opened.close_code is not None:
+                self._stray(door, first, opened, datagram, client)
+                return
+            owner = self._arrive(door, packets, opened, datagram, client)
+            if proven and shown and owner:
+                owner.by_retry = bool(shown.first_id)
+                self.used_tokens[shown.number] = None
+                if len(self.used_tokens) > MOST_USED_TOKENS:
+                    self.used_tokens.popitem(last=False)
+        elif verdict is Verdict.PROVE and self.mint and self.retries.take(now):
+            self.desk.tally.add("quic_retries")
+            new_id = bytes([UNROUTABLE << 5]) + os.urandom(LEAST_ID)  # names no push box, whatever it is taken for
+            token = self.mint.make(client[:2], an_id, new_id, now)
+            door.reply(make_retry(first.version, an_id, first.from_id, new_id, token), client)
+        elif verdict is Verdict.LATER:
+            self.desk.tally.add("quic_refused_at_door")
+            answer = close_initial(first.version, an_id, first.from_id, f"BUSY {-(-pause_us // 1000)}")
+            self.answer(an_id, answer, min(pause_us, ANSWERED_US))
+            door.reply(answer, client)
+        else:
+            self.drop(f"at_door_{verdict.value}")
+
+    def _bad_token(self, door: Door, first: Packet, client: Address, standing: Standing, now: int) -> None:
+        """RFC 9000 8.1.2: a client whose Retry token isn't good is told, rather than left to time out."""
+        self.drop(f"token_{standing.value}")
+        if self.admission.refusals.take(now):
+            door.reply(close_initial(first.version, first.to_id, first.from_id, "", INVALID_TOKEN), client)
+
+    def _open(self, packet: Packet, first_id: bytes) -> Opened | None:
+        """Open a client's Initial on the door's budget of CPU."""
+        began = time.perf_counter_ns()
+        opened = open_initial(packet, first_id, from_client=True)
+        self.admission.cpu.spend(self.now(), (time.perf_counter_ns() - began) / 1_000)
+        return opened
+
+    def _stray(self, door: Door, first: Packet, opened: Opened | None, datagram: bytes,
+               client: Address) -> None:
+        """An Initial that is no request. It may belong to a connection that another relay set up, or this one
+        before a restart: its keys come from an id that is gone. It may go on where new work may go."""
+        box = self._named(first.to_id) if opened is None else None
+        if box and self.desk.serves(box):
+            self._by_id(door, first.to_id, datagram, client)
+        else:
+            self.drop("malformed" if opened is None else "closed")
+
+    def _arrive(self, door: Door, packets: list[Packet], opened: Opened, datagram: bytes,
+                client: Address) -> QuicVisit | None:
+        first = packets[0]
+        network = self.quic.limits.prefixes.of(client[0])
+        owner = QuicVisit(self, door, client, first.to_id, first.from_id, first.version, network)
+        owner.waits = True
+        self.admission.enter(network)
+        self.visits[owner] = None
         owner.kept.append(datagram)
-        call = Call(self.config.settings.classes[door.klass].deadline_us, owner, door.klass)
-        owner.visit = self.desk.arrive(call, owner, self)
+        if self.quic.class_of_protocol or self.quic.class_of_name:
+            owner.hello = HelloReader()
+            self._gather(owner, opened)
+            if owner.visit is None:
+                self.desk.after(HELLO_US, lambda: self._place(owner, door.klass))
+        else:
+            self._place(owner, door.klass)
+        return owner
 
-    @staticmethod
-    def _client_closed(owner: QuicVisit, packets: list[Packet]) -> bool:
-        opened = (open_initial(p, owner.first_id, from_client=True) for p in packets)
-        return any(o and o.close_code is not None for o in opened)
+    def _gather(self, owner: QuicVisit, opened: Opened) -> None:
+        """A ClientHello may tell the class better than the port does; it may come in several datagrams."""
+        found = owner.read_hello(opened)
+        if found is None:
+            return
+        name, protocols = found
+        klass = self.quic.class_of_name.get(name, owner.door.klass)
+        for protocol in protocols:
+            if protocol in self.quic.class_of_protocol:
+                klass = self.quic.class_of_protocol[protocol]
+                break
+        self._place(owner, klass)
+
+    def _place(self, owner: QuicVisit, klass: int) -> None:
+        if owner.visit is None and owner in self.visits:
+            spent = self.now() - owner.since_us
+            patience = max(1, self.config.settings.classes[klass].deadline_us - spent)
+            owner.hello = None
+            owner.visit = self.desk.arrive(Call(patience, owner, klass), owner, self)
+
+    def _before_it_stands(self, owner: QuicVisit, packets: list[Packet], datagram: bytes,
+                          client: Address) -> None:
+        for packet in packets:
+            if packet.kind is not Kind.INITIAL:
+                continue
+            opened = self._open(packet, owner.first_id)
+            if opened and opened.close_code is not None:
+                if owner.visit:
+                    self.desk.carer_left(owner.visit, Ending.ORDERLY)
+                owner.forget()
+                return
+            if opened and owner.hello:
+                self._gather(owner, opened)
+        owner.waiting(datagram, client)
 
-    def _by_id(self, door: Door, an_id: bytes, owner: QuicVisit | None, datagram: bytes,
-               client: Address) -> None:
+    # ---- packets of connections that stand
+
+    def _by_id(self, door: Door, an_id: bytes, datagram: bytes, client: Address) -> None:
         """A packet of a connection that stands goes to its push box, whatever address it comes from."""
-        if an_id in self.moved:
+        owner = self.owners.get(an_id)
+        if owner is not None and not owner.stands:
+            owner.waiting(datagram, client)
+            return
+        if owner is None and an_id in self.moved:
             self.drop("moved")
-            key = self.moved[an_id][0]
             if len(datagram) > 22:  # RFC 9000 10.3.3: smaller than what it answers, so that no loop can run
-                door.reply(stateless_reset(key, an_id, len(datagram) - 1), client)
+                door.reply(stateless_reset(self.moved[an_id][0], an_id, len(datagram) - 1), client)
             return
         box = owner.leg.attempt.box if owner and owner.leg else self._named(an_id)
         if box is None:
             self.drop("unknown_id")
             return
-        if self.desk.boxes.get(box) not in (ServerState.READY, ServerState.DRAINING):
+        if self.desk.boxes.get(box) not in SERVING:
             self.drop("gone_box")
             return
         path = self.path(client, box, owner, door)
         if path is None:
             self.drop("no_room")
             return
-        now = self.desk.clock()
         owner = path.owner
         if owner:
-            owner.learn(an_id)  # a fresh id on a known path is the same connection's
-            owner.client, owner.used_us, owner.door = client, now, door
-            if owner.leg:
-                owner.leg.attempt.alive()
-            if an_id != owner.first_id:
-                owner.last_id = an_id
-            if not owner.unanswered:
-                owner.unanswered_us = now
-            owner.unanswered += 1
+            self._used(owner, path, an_id, door, client)
         path.last_id = an_id
-        path.send(datagram, now)
-        self.desk.tally.add("quic_datagrams_to_boxes")
+        path.used_us = self.now()
+        path.plain = True
+        if not owner or an_id != owner.first_id:
+            self._route(an_id, path)
+        path.send(datagram)
+
+    def _used(self, owner: QuicVisit, path: Path, an_id: bytes, door: Door, client: Address) -> None:
+        owner.learn(an_id)  # a fresh id on a known path is the same connection's
+        owner.client, owner.used_us, owner.door = client, self.now(), door
+        if owner.leg:
+            owner.leg.attempt.alive()
+        if an_id != owner.first_id:
+            owner.last_id = an_id
+            if not owner.confirmed:
+                owner.confirmed = True
+                self.unconfirmed.pop(owner, None)
+                self.admission.credit(client[0], came=True)
+
+    def _route(self, an_id: bytes, path: Path) -> None:
+        """From now on the door sends this id along this path."""
+        old = self.routes.get(an_id)
+        if old is path:
+            return
+        ids = self.route_ids.get(path)
+        if ids is None:
+            return
+        if old is not None and old in self.route_ids:
+            self.route_ids[old].remove(an_id)
+        self.routes[an_id] = path
+        ids.append(an_id)
+        if len(ids) > PATH_IDS:
+            del self.routes[ids.popleft()]
 
     def _named(self, an_id: bytes) -> str | None:
-        server_id = self.quic.form.read(an_id)
-        return self.server_ids.get(server_id) if server_id is not None else None
+        found = self.book.server_of(an_id)
+        return self.server_ids.get(found) if found else None
 
     # ---- paths
 
-    def path(self, client: Address, box: str, owner: QuicVisit | None,
-             door: Door | None = None) -> Path | None:
-        """The path of a client address to a push box; a new one where there is none."""
-        path = self.paths.get((client, box, owner))
-        latest = self.latest.get((client, box))
-        if path is None and owner is None:
-            path = latest
-        if path is None and latest and latest.owner is None:
+    def path(self, client: Address, box: str, owner: QuicVisit | None, door: Door) -> Path | None:
+        """The path of a client address to a push box; a new one where there is none. None: there's no room."""
+        key = (client, box)
+        path = owner.paths.get(client) if owner else self.latest.get(key)
+        if path is not None and path.box == box:
+            return path
+        if owner and key in self.lone:
             # A known id on a path that no visit had: the path is that visit's, and keeps its port.
-            del self.paths[client, box, None]
-            latest.owner = owner
-            path = self.paths[client, box, owner] = latest
-        if path is None:
-            door = door or (owner.door if owner else None)
-            place = self.quic.boxes.get(box)
-            if door is None or place is None:
-                return None
-            if len(self.paths) >= self.quic.most_paths and not self._make_room():
-                return None
-            path = Path(client, box, place.address, door, owner, self._heard, self._refused,
-                        self.desk.clock())
-            self.reactor.listenUDP(0, path, "", LONGEST_DATAGRAM)
-            self.paths[client, box, owner] = path
-            self.desk.tally.add("quic_paths")
-        self.latest[client, box] = path
+            path = self.lone[key]
+            self._give(path, owner)
+            return path
+        place = self.quic.boxes.get(box)
+        if place is None:
+            return None
+        if len(self.route_ids) >= self.quic.most_paths and not self._make_room():
+            return None
+        path = Path(client, box, place.address, door, owner, self.now())
+        path.plain = owner is None or owner.stands
+        avoid: set[Port] = {p.port for p in owner.paths.values() if p.port} if owner else set()
+        client_id = owner.client_id if owner and owner.client_id else b""
+        if not self.pool.place(path, client_id, avoid, self.now(), self._client_id):
+            return None
+        self.route_ids[path] = deque()
+        if owner:
+            owner.paths[client] = path
+        else:
+            self.lone[key] = path
+        self.latest[key] = path
+        self.desk.tally.add("quic_paths")
         return path
 
+    @staticmethod
+    def _client_id(path: Path) -> bytes:
+        return path.owner.client_id if path.owner else b""
+
+    def _give(self, path: Path, owner: QuicVisit) -> None:
+        """A path that had no visit is this one's."""
+        self.lone.pop((path.client, path.box), None)
+        path.owner = owner
+        path.plain = owner.stands
+        old = owner.paths.get(path.client)
+        if old is not None and old is not path:
+            self._close_path(old)
+        owner.paths[path.client] = path
+
     def _make_room(self) -> bool:
-        """Bound the ports: the path that was quiet for longest goes, unless an attempt is out on it."""
-        for path in sorted(self.paths.values(), key=lambda p: p.used_us):
-            if path.owner is None or (path.owner.visit and path.owner.visit.stage is Stage.STANDING):
-                self._close_path(path)
-                self.desk.tally.add("quic_paths_evicted")
-                return True
-        return False
+        """Bound the paths: of the oldest few the one that was quiet for longest goes, unless an attempt is out
+        on it. Looking at all would cost too much in a storm."""
+        oldest = list(islice(self.route_ids, 16))
+        for path in oldest:
+            self._freshen(path, self.now())
+        free = [p for p in oldest if not (p.owner and p.owner.reaching)]
+        if not free:
+            return False
+        goes = min(free, key=lambda p: p.used_us)
+        for path in oldest:  # those that stay go to the end of the line
+            if path is not goes:
+                self.route_ids[path] = self.route_ids.pop(path)
+        self._close_path(goes)
+        self.desk.tally.add("quic_paths_evicted")
+        return True
 
     def _close_path(self, path: Path) -> None:
-        for key in ((path.client, path.box, path.owner), (path.client, path.box, None)):
-            if self.paths.get(key) is path:
-                del self.paths[key]
-        if self.latest.get((path.client, path.box)) is path:
-            del self.latest[path.client, path.box]
-        path.close()
+        for an_id in self.route_ids.pop(path, ()):
+            if self.routes.get(an_id) is path:
+                del self.routes[an_id]
+        key = (path.client, path.box)
+        for table in (self.lone, self.latest):
+            if table.get(key) is path:
+                del table[key]
+        if path.owner and path.owner.paths.get(path.client) is path:
+            del path.owner.paths[path.client]
+        self.pool.give_back(path, self.now())
 
     def close_paths(self, owner: QuicVisit) -> None:
-        """Close all ports of a visit."""
-        for path in [p for p in self.paths.values() if p.owner is owner]:
+        """Give all places of a visit back."""
+        for path in list(owner.paths.values()):
             self._close_path(path)
 
     def _heard(self, path: Path, datagram: bytes) -> None:
-        """From a push box: to the client address that this path stands for."""
+        """From a push box, where the port doesn't know that it may go straight to the client."""
+        path.heard += 1
         owner = path.owner
-        if owner and owner.visit and owner.visit.stage is not Stage.STANDING:
+        if owner and not owner.stands:
             if owner.leg and not owner.leg.attempt.over:
                 owner.leg.heard(path, datagram)
             return
-        path.used_us = self.desk.clock()
-        if owner and owner.leg:
-            owner.unanswered, owner.used_us = 0, path.used_us
-            owner.leg.attempt.alive()
-        self.desk.tally.add("quic_datagrams_to_clients")
         path.door.reply(datagram, path.client)
 
     def _refused(self, path: Path) -> None:
@@ -393,49 +474,136 @@
         """Begin an attempt."""
         assert isinstance(parcel, QuicVisit)
         leg = parcel.leg = QuicLeg(self, parcel, attempt)
-        if attempt.box not in self.quic.boxes:
+        if parcel.brought is not None:  # it stands there already
+            attempt.leg = leg
+            attempt.stands(None)
+        elif attempt.box not in self.quic.boxes:
             attempt.ends(Cause.UNREACHABLE)
         else:
             leg.begin()
         return leg
 
-    # ---- answers given, and the sweep
+    # ---- what visits tell
+
+    def settled(self, owner: QuicVisit) -> None:
+        """A visit stands, or is over: it waits no more."""
+        if owner.waits:
+            owner.waits = False
+            self.admission.leave(owner.network)
+        if not owner.confirmed and owner in self.visits:
+            self.unconfirmed[owner] = None
 
-    def answer(self, an_id: bytes, datagram: bytes) -> None:
+    def forgot(self, owner: QuicVisit) -> None:
+        """A visit is over."""
+        self.settled(owner)
+        self.visits.pop(owner, None)
+        self.unconfirmed.pop(owner, None)
+
+    def answer(self, an_id: bytes, datagram: bytes, for_us: int = ANSWERED_US) -> None:
         """Remember a final answer, so that a client that repeats its Initial gets the same one."""
-        self.answered[an_id] = (datagram, self.desk.clock() + ANSWERED_US)
+        self.answered[an_id] = (datagram, self.now() + for_us)
         while len(self.answered) > MOST_ANSWERED:
             self.answered.popitem(last=False)
 
     def left(self, an_id: bytes, key: bytes) -> None:
         """Remember an id of a connection that was moved."""
-        self.moved[an_id] = (key, self.desk.clock() + ANSWERED_US)
+        self.moved[an_id] = (key, self.now() + ANSWERED_US)
         while len(self.moved) > MOST_ANSWERED:
             self.moved.popitem(last=False)
 
-    def _sweep(self) -> None:
-        self.desk.after(SWEEP_US, self._sweep)
-        now = self.desk.clock()
+    # ---- looks at the tables
+
+    def _tick(self) -> None:
+        self.desk.after(TICK_US, self._tick)
+        now = self.now()
         for table in (self.answered, self.moved):
             while table and next(iter(table.values()))[1] <= now:
                 table.popitem(last=False)
-        for path in list(self.paths.values()):
-            out = path.owner and path.owner.visit and path.owner.visit.stage is Stage.REACHING
-            if now - path.used_us > self.quic.path_idle_us and not out:
-                self._close_path(path)
-        for owner in list(self._standing()):
-            with suppress(KeyError):
-                self._look(owner, now)
-
-    def _standing(self) -> Iterator[QuicVisit]:
-        return (v for v in list(self.visits) if v.visit and v.visit.stage is Stage.STANDING)
+        while self.unconfirmed:
+            owner = next(iter(self.unconfirmed))
+            if now - owner.since_us < self.quic.confirm_us:
+                break
+            self._nobody_there(owner)
+        self._gone_boxes()
+        # An eighth of the paths, the oldest first, each to the end of the line; then an eighth of the visits.
+        for path in list(islice(self.route_ids, len(self.route_ids) // TICKS + 1)):
+            self.route_ids[path] = self.route_ids.pop(path)
+            self._look_at_path(path, now)
+        for owner in list(islice(self.visits, len(self.visits) // TICKS + 1)):
+            del self.visits[owner]
+            self.visits[owner] = None
+            if owner.stands:
+                self._look_at_visit(owner, now)
+
+    def _nobody_there(self, owner: QuicVisit) -> None:
+        """The push box answered, and no client went on: a made-up sender, or one who left."""
+        self.desk.tally.add("quic_unconfirmed")
+        self.admission.credit(owner.client[0], came=False)
+        if owner.visit:
+            self.desk.carer_left(owner.visit, Ending.ORDERLY)
+        owner.forget()
+
+    def _gone_boxes(self) -> None:
+        """A push box that the list no longer names gets nothing more, by any path."""
+        for box in self.quic.boxes:
+            serving = self.desk.boxes.get(box) in SERVING
+            if self.states.get(box, True) and not serving:
+                for path in [p for p in self.route_ids if p.box == box]:
+                    if path.owner is None:
+                        self._close_path(path)
+                for owner in [v for v in self.visits if v.stands and v.leg and v.leg.attempt.box == box]:
+                    assert owner.leg
+                    owner.leg.attempt.ends(Cause.BROKEN, Ending.BROKEN)
+            self.states[box] = serving
 
-    def _look(self, owner: QuicVisit, now: int) -> None:
+    @staticmethod
+    def _freshen(path: Path, now: int) -> tuple[int, int]:
+        """What passed since the last look, to and from the push box."""
+        sent, heard = path.sent - path.seen_sent, path.heard - path.seen_heard
+        if sent or heard:
+            path.used_us, path.seen_sent, path.seen_heard = now, path.sent, path.heard
+        return sent, heard
+
+    def _look_at_path(self, path: Path, now: int) -> None:
+        owner = path.owner
+        sent, heard = self._freshen(path, now)
+        if owner:
+            if sent:
+                owner.used_us, owner.client, owner.last_id = now, path.client, path.last_id or owner.last_id
+            if (sent or heard) and owner.leg:
+                owner.leg.attempt.alive()
+            if heard:
+                owner.unanswered = 0
+            elif sent:
+                if not owner.unanswered:
+                    owner.unanswered_us = now
+                owner.unanswered += sent
+        if now - path.used_us > self.quic.path_idle_us and not (owner and owner.reaching):
+            self._close_path(path)
+        elif owner is None and path.heard >= EXCHANGES and path.sent >= EXCHANGES \
+                and self.desk.boxes.get(path.box) in SERVING \
+                and (now - path.since_us > ALONE_US or self._from_before(path)):
+            self._bring_over(path)
+
+    def _from_before(self, path: Path) -> bool:
+        """Whether a path without a visit goes on from before this relay's start: no visit that was placed
+        since can have left its old address for it."""
+        return path.since_us - self.began_us < START_US and not any(
+            v.brought is None and v.leg and v.leg.attempt.box == path.box and v.since_us < path.since_us
+            for v in self.visits)
+
+    def _bring_over(self, path: Path) -> None:
+        """A path that no visit has, and on which both sides speak: the module must count it."""
+        owner = brought_over(self, path)
+        self.visits[owner] = None
+        self._give(path, owner)
+        owner.visit = self.desk.bring_over(Call(self.config.settings.classes[path.door.klass].deadline_us,
+                                                owner, path.door.klass), owner, self, path.box)
+
+    def _look_at_visit(self, owner: QuicVisit, now: int) -> None:
         assert owner.leg and owner.visit
         attempt = owner.leg.attempt
-        if self.desk.boxes.get(attempt.box) not in (ServerState.READY, ServerState.DRAINING):
-            attempt.ends(Cause.BROKEN, Ending.BROKEN)
-        elif owner.unanswered >= SILENT_DATAGRAMS and now - owner.unanswered_us > SILENT_US:
+        if owner.unanswered >= SILENT_DATAGRAMS and now - owner.unanswered_us > SILENT_US:
             attempt.ends(Cause.SILENT, Ending.BROKEN)
         elif now - owner.used_us > QUIET_US and self.adopt(owner, attempt.box):
             log.debug("visit %d goes on at another address", owner.visit.number)
@@ -449,12 +617,13 @@
         design. So a visit that has gone quiet takes over the paths at its push box that no visit has and that
         began since: the core goes on holding one visit for each connection, and a move reaches its client."""
         found = False
-        while lone := [p for p in self.paths.values()
-                       if p.owner is None and p.box == box and p.since_us > owner.used_us]:
+        for path in list(owner.paths.values()):
+            if self._freshen(path, self.now())[0]:
+                owner.used_us = self.now()
+        while lone := [p for p in self.lone.values() if p.box == box and p.since_us > owner.used_us]:
             path = min(lone, key=lambda p: p.since_us)
-            del self.paths[path.client, box, None]
-            path.owner = owner
-            self.paths[path.client, box, owner] = path
+            self._freshen(path, self.now())
+            self._give(path, owner)
             owner.learn(path.last_id)
             owner.client, owner.door = path.client, path.door
             owner.last_id, owner.used_us = path.last_id, max(path.used_us, path.since_us)
@@ -467,6 +636,5 @@
     def close(self) -> None:
         """Stop listening."""
         for door in self.doors:
-            door.stopListening()
-        for path in list(self.paths.values()):
-            self._close_path(path)
+            door.close()
+        self.pool.close()
--- /dev/null
+++ b/gradefront/quic/hello.py
@@ -0,0 +1,122 @@
+"""The ClientHello, put together from CRYPTO frames that come in any order, and read for its server name and
+protocols (RFC 8446 4.1.2, RFC 6066 3, RFC 7301 3.1). Bounded, no I/O; nothing raises on what a client sends."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+LONGEST_HELLO = 16_384  # post-quantum key shares make 1.8 KB; no sane client comes near this
+MOST_PIECES = 64  # out of order at once
+CLIENT_HELLO = 1
+SERVER_NAME, ALPN = 0, 16
+MOST_NAMES = 16
+
+
+class Hello(NamedTuple):
+    """What a ClientHello asks for."""
+
+    server_name: str
+    protocols: tuple[str, ...]
+
+
+class Unsound(Exception):
+    """What came is no ClientHello, or not within bounds."""
+
+
+class HelloReader:
+    """Takes CRYPTO frames; tells the hello once it is whole."""
+
+    def __init__(self) -> None:
+        self.text = bytearray()  # what has come without a gap
+        self.later: dict[int, bytes] = {}
+        self.held = 0
+
+    def take(self, offset: int, piece: bytes) -> None:
+        """One frame. Raises Unsound where a bound is broken; a piece that is known already changes nothing."""
+        end = offset + len(piece)
+        if end > LONGEST_HELLO:
+            raise Unsound("a ClientHello of more than 16 KiB")
+        if end <= len(self.text) or not piece:
+            return
+        if offset > len(self.text):
+            known = self.later.get(offset, b"")
+            if len(piece) > len(known):
+                self.held += len(piece) - len(known)
+                self.later[offset] = piece
+            if len(self.later) > MOST_PIECES or self.held > 2 * LONGEST_HELLO:
+                raise Unsound("a ClientHello in too many pieces")
+            return
+        self.text += piece[len(self.text) - offset:]
+        for at in sorted(self.later):
+            if at > len(self.text):
+                break
+            more = self.later.pop(at)
+            self.held -= len(more)
+            self.text += more[len(self.text) - at:]
+
+    def hello(self) -> Hello | None:
+        """The hello; None while a part is missing. Raises Unsound."""
+        text = self.text
+        if text and text[0] != CLIENT_HELLO:
+            raise Unsound("the handshake begins with another message")
+        if len(text) < 4:
+            return None
+        length = int.from_bytes(text[1:4])
+        if length > LONGEST_HELLO - 4:
+            raise Unsound("a ClientHello of more than 16 KiB")
+        if len(text) < 4 + length:
+            return None
+        return read_hello(bytes(text[4:4 + length]))
+
+
+class _Reader:
+    """Vectors of TLS: a length, then so many octets."""
+
+    def __init__(self, text: bytes) -> None:
+        self.text = text
+        self.at = 0
+
+    def take(self, size: int) -> bytes:
+        """So many octets. Raises Unsound where they run out."""
+        end = self.at + size
+        if end > len(self.text):
+            raise Unsound("a ClientHello that ends early")
+        piece, self.at = self.text[self.at:end], end
+        return piece
+
+    def vector(self, size: int) -> bytes:
+        """Octets after their length, which is told in `size` octets."""
+        return self.take(int.from_bytes(self.take(size)))
+
+    @property
+    def left(self) -> bool:
+        """Whether anything is left."""
+        return self.at < len(self.text)
+
+
+def read_hello(body: bytes) -> Hello:
+    """Read a whole ClientHello's body. Raises Unsound."""
+    reader = _Reader(body)
+    reader.take(2 + 32)  # version, random
+    reader.vector(1)  # session id
+    reader.vector(2)  # cipher suites
+    reader.vector(1)  # compression
+    if not reader.left:
+        return Hello("", ())
+    extensions = _Reader(reader.vector(2))
+    name, protocols = "", list[str]()
+    while extensions.left:
+        kind = int.from_bytes(extensions.take(2))
+        content = _Reader(extensions.vector(2))
+        if kind == SERVER_NAME and not name:
+            names = _Reader(content.vector(2))
+            while names.left:
+                is_host = names.take(1) == b"\x00"
+                told = names.vector(2)
+                if is_host and not name:
+                    name = told.decode("ascii", "replace").lower().rstrip(".")
+        elif kind == ALPN and not protocols:
+            listed = _Reader(content.vector(2))
+            while listed.left and len(protocols) < MOST_NAMES:
+                protocols.append(listed.vector(1).decode("latin-1"))
+    return Hello(name, tuple(protocols))
--- a/gradefront/quic/paths.py
+++ b/gradefront/quic/paths.py
@@ -1,103 +1,414 @@
-"""Client paths: each client address that reaches a push box gets an upstream port of its own."""
+"""Upstream ports: through which a client's datagrams reach a push box, and how the answers find back.
+
+QUIC hides which connection a short packet from a push box belongs to. So a port is used by one client path for
+each push box: sender and port together tell whose the answer is. The same port serves other paths at other push
+boxes. Only when the bound on ports is reached do paths share a place: told apart by the client ids that the
+push box writes to, with at most one path in it whose id hasn't been seen yet.
+"""
 
 from __future__ import annotations
 
+import errno
 import logging
+import socket
+import struct
+from collections import deque
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
-
-from twisted.internet.protocol import DatagramProtocol
+from contextlib import suppress
+from typing import Any
 
 from gradefront.config import Address
-
-if TYPE_CHECKING:
-    from .front import QuicVisit
+from gradefront.net.reactor import Reactor
 
 log = logging.getLogger("gradefront.quic")
 
-LONGEST_DATAGRAM = 65_535
+LONGEST_DATAGRAM = 9_216  # jumbo frames; QUIC over more doesn't cross a network
+BATCH = 64  # datagrams read in one go, so that timers and other sockets get their turn
+QUARANTINE_US = 3_000_000  # a place rests so long after its path: answers may still be under way
+BUFFER = 4 << 20  # asked of the system for the doors: a batch must not overrun while the module thinks
+PORT_BUFFER = 1 << 18
+IP_RECVERR, IPV6_RECVERR = 11, 25  # Linux: ICMP refusals on a socket that isn't connected
+MSG_ERRQUEUE = 0x2000
+
+
+class Socket:
+    """A datagram socket on the reactor, read in batches. What is refused is told, with where it was sent."""
+
+    def __init__(self, reactor: Any, host: str, port: int, buffer: int) -> None:
+        self.reactor = reactor
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self.socket = socket.socket(family, socket.SOCK_DGRAM)
+        self.closed = False
+        try:
+            self.socket.setblocking(False)
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                self.socket.setsockopt(socket.SOL_SOCKET, option, buffer)
+            self.socket.bind((host, port))
+        except OSError:
+            self.socket.close()
+            raise
+        self.sendto = self.socket.sendto
+        self.recvfrom = self.socket.recvfrom
+        reactor.addReader(self)
+
+    @property
+    def address(self) -> Address:
+        """Where it is bound."""
+        told = self.socket.getsockname()
+        return told[0], told[1]
+
+    def fileno(self) -> int:
+        """For the reactor."""
+        return self.socket.fileno()
+
+    def logPrefix(self) -> str:
+        """For the reactor."""
+        return "quic"
+
+    def doRead(self) -> None:
+        """Read what there is, for the reactor."""
+        raise NotImplementedError
+
+    def connectionLost(self, reason: object) -> None:
+        """The reactor saw an error on the socket: a refusal that waits in its queue. It goes on."""
+        if not self.closed:
+            self.errors()
+            self.reactor.addReader(self)
 
+    def errors(self) -> None:
+        """Take refusals out of the error queue. Overridden where somebody wants to know."""
 
-class Path(DatagramProtocol):
-    """One client address at one push box. The push box sees this path's port as the client's address, and
-    what it sends there goes to that client address and nowhere else."""
+    def close(self) -> None:
+        """Give the descriptor back."""
+        if not self.closed:
+            self.closed = True
+            self.reactor.removeReader(self)
+            self.socket.close()
 
-    noisy = False
 
-    def __init__(self, client: Address, box: str, where: Address, door: Door, owner: QuicVisit | None,
-                 heard: Callable[[Path, bytes], None], refused: Callable[[Path], None], now_us: int) -> None:
+class Path:
+    """One client address at one push box, through one port."""
+
+    __slots__ = ("client", "box", "where", "door", "owner", "port", "sent", "heard", "seen_sent", "seen_heard",
+                 "since_us", "used_us", "last_id", "plain", "settled")
+
+    def __init__(self, client: Address, box: str, where: Address, door: Any, owner: Any, now_us: int) -> None:
         self.client = client
         self.box = box
         self.where = where
         self.door = door
         self.owner = owner
-        self.heard = heard
-        self.refused = refused
+        self.port: Port | None = None
+        self.sent = self.heard = 0  # datagrams to and from the push box
+        self.seen_sent = self.seen_heard = 0  # of which the last sweep knew
         self.since_us = self.used_us = now_us
         self.last_id = b""
-        self.closed = False
+        self.plain = False  # its answers need no look: they go to the client
+        self.settled = False
 
-    @property
-    def wire(self) -> Any:
-        """The transport."""
-        return self.transport
+    def send(self, datagram: bytes) -> bool:
+        """To the push box. A full socket buffer drops it, as any network may."""
+        if self.port is None:
+            return False
+        self.sent += 1
+        try:
+            self.port.sendto(datagram, self.where)
+            return True
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno == errno.ECONNREFUSED:
+                self.port.errors()
+            return False
 
-    def startProtocol(self) -> None:
-        """Bind to the push box: what anyone else sends here is dropped by the system."""
-        self.wire.connect(*self.where)
 
-    def send(self, datagram: bytes, now_us: int) -> None:
-        """To the push box."""
-        if not self.closed:
-            self.since_us = self.used_us = now_us
-            self.wire.write(datagram)
+class Place:
+    """One push box at one port, and whose answers come there."""
 
-    def datagramReceived(self, datagram: bytes, addr: object) -> None:
-        """From the push box. Guards the relay: an exception ends with this datagram."""
-        if self.closed:
-            return
-        try:
-            self.heard(self, datagram)
-        except Exception:
-            log.exception("a push box's datagram failed")
+    __slots__ = ("only", "by_id", "unsettled", "unsure")
 
-    def connectionRefused(self) -> None:
-        """Nothing listens at the push box's address."""
-        if not self.closed:
-            self.refused(self)
+    def __init__(self, path: Path) -> None:
+        self.only: Path | None = path
+        self.by_id: dict[bytes, Path] | None = None  # where it is shared
+        self.unsettled: Path | None = None
+        self.unsure: set[Path] = set()  # paths whose known ids haven't been seen since the place is shared
 
-    def stopProtocol(self) -> None:
-        """The port is gone. Guards against a refusal that epoll reports as an error on the socket: Twisted
-        then drops the port without a word to `connectionRefused`."""
-        if not self.closed:
-            self.closed = True
-            self.refused(self)
+    def paths(self) -> list[Path]:
+        """All of them."""
+        if self.by_id is None:
+            return [self.only] if self.only else []
+        found = dict.fromkeys(self.by_id.values())
+        if self.unsettled:
+            found[self.unsettled] = None
+        return list(found)
 
-    def close(self) -> None:
-        """Give the port back."""
-        if not self.closed:
-            self.closed = True
-            self.wire.stopListening()
+    def share(self, path: Path, client_id: bytes, present_id: bytes) -> None:
+        """One more path comes in. The present one is known by its client id."""
+        if self.by_id is None:
+            assert self.only
+            self.by_id, self.unsure = {present_id: self.only}, {self.only}
+            self.only = None
+        if client_id:
+            self.by_id[client_id] = path
+            self.unsure.add(path)
+        else:
+            self.unsettled = path
+
+    def find(self, datagram: bytes) -> list[Path]:
+        """Whose answer it is. One of an id that nobody knows is the unsettled path's, once all others were
+        heard of; until then it goes to all who may be meant: a client drops what isn't its own."""
+        assert self.by_id is not None
+        if datagram[0] & 0x80 and len(datagram) > 6:
+            an_id = datagram[6:6 + datagram[5]]
+            path = self.by_id.get(an_id)
+        else:
+            path, an_id = None, b""
+            for length in {len(known) for known in self.by_id}:
+                an_id = datagram[1:1 + length]
+                path = self.by_id.get(an_id)
+                if path:
+                    break
+        if path:
+            self.unsure.discard(path)
+            return [path]
+        if self.unsettled and not self.unsure:
+            path, self.unsettled = self.unsettled, None
+            if an_id:
+                self.by_id[an_id] = path
+            path.settled = True
+            return [path]
+        return self.paths()
+
+    def drop(self, path: Path) -> bool:
+        """A path is gone; whether the place is empty now."""
+        if self.by_id is None:
+            self.only = None
+            return True
+        for known in [k for k, p in self.by_id.items() if p is path]:
+            del self.by_id[known]
+        self.unsure.discard(path)
+        if self.unsettled is path:
+            self.unsettled = None
+        return not self.by_id and self.unsettled is None
 
 
-class Door(DatagramProtocol):
-    """Where clients of one class come in."""
+class Port(Socket):
+    """One upstream port. `places` holds a path, or a few, for each push box."""
+
+    def __init__(self, pool: PortPool, number: int, host: str) -> None:
+        super().__init__(pool.reactor, host, 0, PORT_BUFFER)
+        self.pool = pool
+        self.number = number
+        self.places: dict[Address, Place] = {}
+        with suppress(OSError):  # elsewhere than on Linux refusals are found by silence
+            if ":" in host:
+                self.socket.setsockopt(socket.IPPROTO_IPV6, IPV6_RECVERR, 1)
+            else:
+                self.socket.setsockopt(socket.IPPROTO_IP, IP_RECVERR, 1)
+
+    def doRead(self) -> None:
+        """Answers of push boxes: the usual way of a datagram, with nothing that it doesn't need."""
+        places, recvfrom = self.places, self.recvfrom
+        for _ in range(BATCH):
+            try:
+                datagram, sender = recvfrom(LONGEST_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:
+                if self.closed:
+                    return
+                self.errors()
+                continue
+            place = places.get(sender[:2] if len(sender) > 2 else sender)
+            if place is None:
+                self.pool.stranger()
+                continue
+            path = place.only
+            if path is not None and path.plain:
+                path.heard += 1
+                try:
+                    path.door.sendto(datagram, path.client)
+                except OSError:
+                    self.pool.lost()
+            elif datagram:
+                try:
+                    self.pool.heard(place, datagram)
+                except Exception:
+                    log.exception("a push box's datagram failed")
+
+    def errors(self) -> None:
+        """Refusals: nothing listens where a datagram was sent."""
+        while not self.closed:
+            try:
+                _, ancillary, _, where = self.socket.recvmsg(64, 512, MSG_ERRQUEUE)
+            except OSError:
+                return
+            refused = any(len(data) >= 4 and struct.unpack("=I", data[:4])[0] == errno.ECONNREFUSED
+                          for _, _, data in ancillary)
+            place = self.places.get(where[:2]) if where else None
+            if refused and place:
+                for path in place.paths():
+                    self.pool.refused(path)
+
+
+class PortPool:
+    """All upstream ports: at most `most`, each with one path a push box, or `share` where that doesn't do."""
+
+    def __init__(self, reactor: Reactor, host: str, most: int, share: int,
+                 heard: Callable[[Path, bytes], None], refused: Callable[[Path], None],
+                 count: Callable[[str], None]) -> None:
+        self.reactor = reactor
+        self.host = host
+        self.most = most
+        self.share = share
+        self.tell_heard = heard
+        self.refused = refused
+        self.count = count
+        self.ports: list[Port] = []
+        self.fresh: dict[Address, int] = {}  # by push box: ports from this number on have never held it
+        self.rested: dict[Address, deque[tuple[int, int]]] = {}  # places that were given back, and when
 
-    noisy = False
+    def stranger(self) -> None:
+        """Someone who is no push box, or whose path is gone, wrote to a port."""
+        self.count("quic_dropped_stranger")
 
-    def __init__(self, klass: int, take: Callable[[Door, bytes, Address], None]) -> None:
+    def lost(self) -> None:
+        """The system didn't take a datagram."""
+        self.count("quic_dropped_unsent")
+
+    def heard(self, place: Place, datagram: bytes) -> None:
+        """An answer that needs a look."""
+        paths = [place.only] if place.only else place.find(datagram)
+        if len(paths) > 1:
+            self.count("quic_copied_to_sharers")
+        for path in paths:
+            self.tell_heard(path, datagram)
+
+    def place(self, path: Path, client_id: bytes, avoid: set[Port], now_us: int,
+              known: Callable[[Path], bytes]) -> bool:
+        """Find the path a port where its connection isn't yet: the push box must see each client address as
+        another one. `client_id`: what the push box will write to, if that is known. False: no room."""
+        where = path.where
+        port = self._rested(where, avoid, now_us, QUARANTINE_US) or self._fresh(where, avoid) \
+            or self._rested(where, avoid, now_us, 0)
+        if port:
+            port.places[where] = Place(path)
+        else:
+            port = self._shared(path, client_id, avoid, known)
+            if port is None:
+                return False
+            self.count("quic_paths_shared")
+        path.port = port
+        return True
+
+    def _rested(self, where: Address, avoid: set[Port], now_us: int, rest_us: int) -> Port | None:
+        rested = self.rested.get(where)
+        for _ in range(min(4, len(rested)) if rested else 0):
+            assert rested
+            number, since_us = rested[0]
+            if now_us - since_us < rest_us:
+                return None
+            rested.popleft()
+            if self.ports[number] not in avoid:
+                return self.ports[number]
+            rested.append((number, since_us))
+        return None
+
+    def _fresh(self, where: Address, avoid: set[Port]) -> Port | None:
+        at = self.fresh.get(where, 0)
+        if at >= len(self.ports):
+            if len(self.ports) >= self.most:
+                return None
+            try:
+                self.ports.append(Port(self, len(self.ports), self.host))
+            except OSError as error:  # no descriptors left: live with the ports that there are
+                log.error("no further upstream port, %d it stays: %s", len(self.ports), error)
+                self.count("quic_ports_refused")
+                self.most = len(self.ports)
+                return None
+        self.fresh[where] = at + 1
+        port = self.ports[at]
+        if port in avoid:  # rare: it goes to the next one who asks
+            self.rested.setdefault(where, deque()).append((at, 0))
+            return self._fresh(where, avoid)
+        return port
+
+    def _shared(self, path: Path, client_id: bytes, avoid: set[Port],
+                known: Callable[[Path], bytes]) -> Port | None:
+        """A place with the fewest paths among some: looking at all would cost too much in a storm."""
+        best: Port | None = None
+        fewest = self.share
+        start = hash((path.client, path.where)) % (len(self.ports) or 1)
+        for step in range(min(32, len(self.ports))):
+            port = self.ports[(start + step) % len(self.ports)]
+            place = port.places.get(path.where)
+            if place is None or port in avoid or (not client_id and place.unsettled):
+                continue
+            if place.only and not known(place.only) or place.by_id and client_id in place.by_id:
+                continue
+            if len(place.paths()) < fewest:
+                best, fewest = port, len(place.paths())
+        if best:
+            place = best.places[path.where]
+            place.share(path, client_id, known(place.only) if place.only else b"")
+        return best
+
+    def give_back(self, path: Path, now_us: int) -> None:
+        """The path is over; its place rests before another gets it."""
+        port, path.port = path.port, None
+        if port is None:
+            return
+        place = port.places.get(path.where)
+        if place and place.drop(path):
+            del port.places[path.where]
+            self.rested.setdefault(path.where, deque()).append((port.number, now_us))
+
+    def close(self) -> None:
+        """Close all ports."""
+        for port in self.ports:
+            port.close()
+
+
+class Door(Socket):
+    """Where clients of one class come in. Packets of paths that stand pass here and nowhere else."""
+
+    def __init__(self, reactor: Reactor, klass: int, where: Address, routes: dict[bytes, Path],
+                 lengths: list[int], take: Callable[[Door, bytes, Address], None]) -> None:
+        super().__init__(reactor, where[0], where[1], BUFFER)
         self.klass = klass
+        self.routes = routes
+        self.lengths = lengths
         self.take = take
+        self.passed = 0
 
-    def datagramReceived(self, datagram: bytes, addr: Any) -> None:
-        """From a client. Guards the relay: an exception ends with this datagram."""
-        try:
-            self.take(self, datagram, (addr[0], addr[1]))
-        except Exception:
-            log.exception("a client's datagram failed")
+    def doRead(self) -> None:
+        """Clients' datagrams: by id along a path that is known, all others by the front's tables."""
+        routes, lengths, recvfrom = self.routes, self.lengths, self.recvfrom
+        for _ in range(BATCH):
+            try:
+                datagram, client = recvfrom(LONGEST_DATAGRAM)
+            except BlockingIOError:
+                return
+            except OSError:
+                if self.closed:
+                    return
+                continue
+            if len(datagram) > 1 and datagram[0] < 0x80:
+                path = routes.get(datagram[1:1 + lengths[datagram[1] >> 5]])
+                if path is not None and path.client == client and path.port is not None:
+                    path.sent += 1
+                    self.passed += 1
+                    try:
+                        path.port.sendto(datagram, path.where)
+                    except OSError:
+                        path.port.errors()
+                    continue
+            try:
+                self.take(self, datagram, client)  # whole: an IPv6 sender has its scope
+            except Exception:  # guards the relay: an exception ends with this datagram
+                log.exception("a client's datagram failed")
 
     def reply(self, datagram: bytes, client: Address) -> None:
         """To a client."""
-        transport: Any = self.transport
-        if transport is not None:
-            transport.write(datagram, client)
+        with suppress(OSError):
+            self.sendto(datagram, client)
--- /dev/null
+++ b/gradefront/quic/settings.py
@@ -0,0 +1,131 @@
+"""The types of `quic.json`. A field that isn't here is an error: a slip of the pen must not switch a limit off."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+Rate = Annotated[float, Meta(gt=0, le=1e6)]
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+T = TypeVar("T")
+
+
+class Part(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """What all parts of the file share."""
+
+
+class Ids(Part, frozen=True):
+    """One configuration of ids (draft-ietf-quic-load-balancers)."""
+
+    config_id: int
+    server_id_length: int
+    nonce_length: int
+    tells_length: bool = True
+    key: str = ""
+    key_file: str = ""
+
+
+class Box(Part, frozen=True):
+    """A push box."""
+
+    address: str
+    reset_key: str
+    server_id: str = ""
+    server_ids: tuple[str, ...] = ()
+
+
+class RetryKey(Part, frozen=True):
+    """One key of the sequence that relays and push boxes share."""
+
+    sequence: Annotated[int, Meta(ge=0, le=127)]
+    iv: str
+    key: str = ""
+    key_file: str = ""
+
+
+class Retry(Part, frozen=True):
+    """Address validation by Retry."""
+
+    mode: Literal["never", "always", "auto"] = "never"
+    keys: tuple[RetryKey, ...] = ()
+    newest: int | None = None
+    life_s: Seconds = 10.0
+
+
+class DoorLimits(Part, frozen=True):
+    """What the door bears; rates are a second."""
+
+    pressure: Rate = 200.0
+    address_rate: Rate = 100.0
+    address_burst: Rate = 1_000.0
+    network_rate: Rate = 400.0
+    network_burst: Rate = 2_000.0
+    unknown_rate: Rate = 200.0
+    refusal_rate: Rate = 100.0
+    cpu_share: Annotated[float, Meta(gt=0, le=1)] = 0.25
+    prefix_v4: int = 24
+    prefix_v6: int = 56
+    allow: tuple[str, ...] = ()
+    deny: tuple[str, ...] = ()
+
+
+class Classes(Part, frozen=True):
+    """Which class a visit is of, where its ClientHello tells more than its port."""
+
+    alpn: dict[str, str] = {}
+    sni: dict[str, str] = {}
+
+
+class QuicFile(Part, frozen=True):
+    """The whole file."""
+
+    listen: dict[str, str]
+    boxes: dict[str, Any]  # of Box; each is checked with its name
+    on: bool = False
+    config_id: int | None = None
+    server_id_length: int | None = None
+    nonce_length: int | None = None
+    id_tells_length: bool = True
+    ids: tuple[Ids, ...] = ()
+    path_idle_s: Seconds = 20.0
+    visit_idle_s: Seconds = 30.0
+    confirm_s: Seconds = 3.0
+    most_paths: Count = 8_192
+    most_ports: Annotated[int, Meta(ge=1, le=60_000)] = 768
+    port_share: Annotated[int, Meta(ge=1, le=64)] = 4
+    most_waiting: Count = 256
+    retry: Retry = Retry()
+    limits: DoorLimits = DoorLimits()
+    classes: Classes = Classes()
+
+
+def checked(told: Any, kind: type[T], under: str = "") -> T:
+    """An object as its type. Raises ValueError that begins with the field; `under`: where the object stands."""
+    try:
+        return msgspec.convert(told, kind)
+    except msgspec.ValidationError as error:
+        text, _, where = str(error).partition(" - at `$")
+        where = where.rstrip("`").lstrip(".")
+        value = _at(told, where)
+        for known, said in (("missing required field", "missing"),
+                            ("contains unknown field", "there is no such field")):
+            if known in text:
+                where, text, value = ".".join(filter(None, (where, text.split("`")[1]))), said, None
+        text += f", has {value!r}" if value is not None else ""
+        raise ValueError(": ".join(filter(None, (".".join(filter(None, (under, where))), text)))) from None
+
+
+def _at(told: Any, where: str) -> object:
+    """The value at a path of msgspec's, where it is plain, short and no key."""
+    for part in where.replace("[", ".").replace("]", "").split("."):
+        if isinstance(told, dict):
+            told = told.get(part)
+        elif isinstance(told, list) and part.isdigit() and int(part) < len(told):
+            told = told[int(part)]
+        else:
+            return None
+    secret = where.rpartition(".")[2] in ("key", "reset_key", "iv")
+    return told if isinstance(told, int | float | str) and not secret and len(str(told)) < 60 else None
--- /dev/null
+++ b/gradefront/quic/tokens.py
@@ -0,0 +1,145 @@
+"""Retry tokens that relays and push boxes share keys for: the shared-state form of draft-ietf-quic-retry-offload.
+
+A token proves that whoever shows it could read what was sent to its address. Layout, in octets:
+
+    1   kind (top bit: 0 Retry, 1 NEW_TOKEN) and sequence number of the key (7 bits)
+    12  unique number of the token
+    ..  AES-128-GCM of: length of the first id (0 in a NEW_TOKEN), length of the Retry's id, both ids, client's
+        address (16, IPv4 mapped) and port (2; 0 in a NEW_TOKEN), time of its end in Unix milliseconds (8)
+    16  tag
+
+The nonce is the key's IV xor the unique number; the first octet and the number are authenticated beside the rest.
+The address is inside, for a push box behind the relay sees the relay's and still has to read the ids. No I/O.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import Mapping
+from enum import Enum
+from functools import lru_cache
+from typing import NamedTuple
+
+from cryptography.exceptions import InvalidTag
+from cryptography.hazmat.primitives.ciphers.aead import AESGCM
+
+from .headers import LONGEST_ID
+
+NEW_TOKEN = 0x80
+NUMBER = 12
+TAG = 16
+FIXED_BODY = 2 + 16 + 2 + 8  # what a body holds beside the ids
+SHORTEST = 1 + NUMBER + FIXED_BODY + TAG
+
+
+class TokenKey(NamedTuple):
+    """One key of the rotating sequence."""
+
+    key: bytes
+    iv: bytes
+
+    def __repr__(self) -> str:
+        return "TokenKey(...)"  # never shown: a log line may hold one
+
+
+class Standing(Enum):
+    """What a token proves."""
+
+    NONE = "none"  # there is none, or it is a push box's own
+    PROVEN = "proven"  # the client could read at this address
+    FORGED = "forged"  # it claims to be ours and does not open
+    STOLEN = "stolen"  # it is another address's
+    EXPIRED = "expired"
+    MISPLACED = "misplaced"  # sound, but came with another id than the Retry gave
+
+
+class Shown(NamedTuple):
+    """A token, read."""
+
+    standing: Standing
+    first_id: bytes = b""
+    number: bytes = b""
+
+
+@lru_cache(maxsize=4_096)
+def packed(host: str) -> bytes:
+    """An address as 16 octets. Raises OSError on what is none."""
+    if ":" in host:
+        return socket.inet_pton(socket.AF_INET6, host.partition("%")[0])
+    return bytes(10) + b"\xff\xff" + socket.inet_pton(socket.AF_INET, host)
+
+
+class TokenMint:
+    """Makes tokens with the newest key and reads those of every key that is still known."""
+
+    def __init__(self, keys: Mapping[int, TokenKey], newest: int, life_us: int) -> None:
+        if newest not in keys:
+            raise ValueError(f"newest: no key has sequence number {newest}")
+        self.sealers = {number: (AESGCM(key.key), int.from_bytes(key.iv)) for number, key in keys.items()}
+        self.newest = newest
+        self.life_us = life_us
+
+    def make(self, client: tuple[str, int], first_id: bytes, retry_id: bytes, now_us: int) -> bytes:
+        """A Retry's token. Times are Unix microseconds."""
+        end_ms = (now_us + self.life_us) // 1000
+        return self._seal(self.newest, b"".join((
+            bytes([len(first_id), len(retry_id)]), first_id, retry_id,
+            packed(client[0]), client[1].to_bytes(2), end_ms.to_bytes(8))))
+
+    def make_new(self, client: tuple[str, int], now_us: int, life_us: int) -> bytes:
+        """A NEW_TOKEN's token, as a push box that knows its client's address would make it."""
+        return self._seal(NEW_TOKEN | self.newest, b"".join((
+            bytes(2), packed(client[0]), bytes(2), ((now_us + life_us) // 1000).to_bytes(8))))
+
+    def _seal(self, first: int, body: bytes) -> bytes:
+        sealer, iv = self.sealers[first & ~NEW_TOKEN]
+        number = os.urandom(NUMBER)
+        head = bytes([first]) + number
+        return head + sealer.encrypt((iv ^ int.from_bytes(number)).to_bytes(NUMBER), body, head)
+
+    def _unseal(self, token: bytes) -> bytes | None:
+        """The body, where token and form are sound."""
+        known = self.sealers.get(token[0] & ~NEW_TOKEN & 0xFF) if len(token) >= SHORTEST else None
+        if known is None:
+            return None
+        sealer, iv = known
+        head, number = token[:1 + NUMBER], token[1:1 + NUMBER]
+        try:
+            body = sealer.decrypt((iv ^ int.from_bytes(number)).to_bytes(NUMBER), token[1 + NUMBER:], head)
+        except InvalidTag:
+            return None
+        first, second = body[0], body[1]
+        if first > LONGEST_ID or second > LONGEST_ID or len(body) != FIXED_BODY + first + second:
+            return None
+        return body if bool(first) is not bool(token[0] & NEW_TOKEN) else None
+
+    def unsealed(self, token: bytes) -> tuple[bytes, bytes] | None:
+        """What a push box reads of a Retry's token: the client's first id and the Retry's, for its transport
+        parameters (RFC 9000 7.3)."""
+        body = self._unseal(token)
+        if body is None or not body[0]:
+            return None
+        return body[2:2 + body[0]], body[2 + body[0]:2 + body[0] + body[1]]
+
+    def read(self, token: bytes, client: tuple[str, int], to_id: bytes, now_us: int) -> Shown:
+        """What a token is worth, shown from this address in an Initial to this id."""
+        if not token or token[0] & ~NEW_TOKEN & 0xFF not in self.sealers:
+            return Shown(Standing.NONE)
+        is_new = bool(token[0] & NEW_TOKEN)
+        body = self._unseal(token)
+        if body is None:  # a box may have NEW_TOKENs of its own
+            return Shown(Standing.NONE if is_new else Standing.FORGED)
+        ids = 2 + body[0] + body[1]
+        if int.from_bytes(body[ids + 18:]) * 1000 < now_us:
+            return Shown(Standing.NONE if is_new else Standing.EXPIRED)
+        if body[ids:ids + 16] != packed(client[0]):
+            return Shown(Standing.NONE if is_new else Standing.STOLEN)
+        number = token[1:1 + NUMBER]
+        if is_new:
+            return Shown(Standing.PROVEN, b"", number)
+        if int.from_bytes(body[ids + 16:ids + 18]) != client[1]:
+            return Shown(Standing.STOLEN)
+        if body[2 + body[0]:ids] != to_id:
+            return Shown(Standing.MISPLACED)
+        return Shown(Standing.PROVEN, body[2:2 + body[0]], number)
--- /dev/null
+++ b/gradefront/quic/visits.py
@@ -0,0 +1,261 @@
+"""One QUIC connection as the core's carer side, and the attempts that place it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Any, Protocol
+
+from gradefront.config import Address
+from gradefront.core.ports import BoxLeg, Ending
+from gradefront.core.shortfall import Cause, Reach
+from gradefront.core.visit import Attempt, Stage, Visit
+
+from .config import QuicConfig
+from .headers import Kind, Packet, split, stateless_reset
+from .hello import HelloReader, Unsound
+from .initials import CONNECTION_REFUSED, Opened, close_initial, open_initial, sound_retry
+from .paths import Door, Path
+
+KEPT = 12  # datagrams of a waiting client, for the next push box; a post-quantum ClientHello makes two
+EARLY = 4  # of a push box, that overtook its first Initial
+IDS = 16  # ids remembered for one visit
+
+
+class Tables(Protocol):
+    """What a visit uses of its front."""
+
+    quic: QuicConfig
+    owners: dict[bytes, QuicVisit]
+
+    def now(self) -> int:
+        """The time."""
+
+    def drop(self, why: str) -> None:
+        """Count a datagram that goes nowhere."""
+
+    def path(self, client: Address, box: str, owner: QuicVisit | None, door: Door) -> Path | None:
+        """A path, new where there is none."""
+
+    def close_paths(self, owner: QuicVisit) -> None:
+        """Give all its places back."""
+
+    def adopt(self, owner: QuicVisit, box: str) -> bool:
+        """Take over paths that may be this visit's."""
+
+    def answer(self, an_id: bytes, datagram: bytes) -> None:
+        """Remember a final answer."""
+
+    def left(self, an_id: bytes, key: bytes) -> None:
+        """Remember an id that was moved."""
+
+    def settled(self, owner: QuicVisit) -> None:
+        """A visit stands, or is over: it waits no more."""
+
+    def forgot(self, owner: QuicVisit) -> None:
+        """A visit is over."""
+
+
+class QuicVisit:
+    """One QUIC connection. It may use many client addresses and ids."""
+
+    def __init__(self, front: Tables, door: Door, client: Address, first_id: bytes, client_id: bytes,
+                 version: int, network: bytes = b"") -> None:
+        self.front = front
+        self.door = door
+        self.first_id = first_id  # what the keys of its Initials come from
+        self.client_id = client_id
+        self.version = version
+        self.client = client  # the address that it used last
+        self.network = network
+        self.waits = False  # whether it counts among those who wait
+        self.by_retry = False  # it came with a token of ours: a second Retry would be ignored
+        self.confirmed = False  # the client has used an id that only the push box's answer held
+        self.last_id = b""  # the push box's id that it used last
+        self.kept: list[bytes] = []
+        self.hello: HelloReader | None = None
+        self.ids: OrderedDict[bytes, None] = OrderedDict()
+        self.paths: dict[Address, Path] = {}
+        self.brought: Path | None = None  # a path that had no visit, which this one is made for
+        self.leg: QuicLeg | None = None
+        self.visit: Visit | None = None
+        self.since_us = self.used_us = front.now()
+        self.unanswered = 0
+        self.unanswered_us = 0
+        self.learn(first_id)
+
+    @property
+    def stands(self) -> bool:
+        """Whether a push box serves it."""
+        return self.visit is not None and self.visit.stage is Stage.STANDING
+
+    @property
+    def reaching(self) -> bool:
+        """Whether an attempt is out."""
+        return self.visit is not None and self.visit.stage is Stage.REACHING
+
+    def learn(self, an_id: bytes) -> None:
+        """An id is this connection's. The oldest goes where there are too many."""
+        if an_id not in self.ids:
+            self.ids[an_id] = None
+            self.front.owners[an_id] = self
+            if len(self.ids) > IDS:
+                old = self.ids.popitem(last=False)[0]
+                if self.front.owners.get(old) is self:
+                    del self.front.owners[old]
+
+    def forget(self) -> None:
+        """None of its ids is known any more."""
+        for an_id in self.ids:
+            if self.front.owners.get(an_id) is self:
+                del self.front.owners[an_id]
+        self.ids.clear()
+        self.front.close_paths(self)
+        self.front.forgot(self)
+
+    def waiting(self, datagram: bytes, client: Address) -> None:
+        """A datagram before the visit stands: kept for the next push box, and sent to the present one."""
+        self.client = client
+        if datagram not in self.kept:
+            self.kept = [*self.kept[:1], *self.kept[1:][-KEPT + 2:], datagram]
+        if self.leg:
+            self.leg.send(datagram, client)
+
+    def read_hello(self, opened: Opened) -> tuple[str, tuple[str, ...]] | None:
+        """Put a client's CRYPTO frames together; server name and protocols once they are whole, or once it is
+        clear that they never will be."""
+        if self.hello is None:
+            return "", ()
+        try:
+            for offset, piece in opened.crypto:
+                self.hello.take(offset, piece)
+            found = self.hello.hello()
+        except Unsound:
+            found = ("", ())  # type: ignore[assignment]
+        if found is not None:
+            self.hello = None
+        return found
+
+    # ---- as the core's carer side
+
+    def seat(self, leg: BoxLeg, receipt: object) -> None:
+        """The push box's first sound answer goes to the client; from here on packets go by id."""
+        self.kept = []
+        self.hello = None
+        for path in self.paths.values():
+            path.plain = True
+        self.front.settled(self)
+        if isinstance(receipt, tuple):
+            path, datagrams = receipt
+            for datagram in datagrams:
+                self.door.reply(datagram, path.client)
+
+    def refuse(self, pause_us: int) -> None:
+        """The final answer: a close, with the advised pause as its reason."""
+        self._close(f"BUSY {-(-pause_us // 1000)}" if pause_us else "BUSY")
+
+    def fail(self) -> None:
+        """The final answer: a close that advises nothing."""
+        self._close("ERR")
+
+    def _close(self, reason: str) -> None:
+        datagram = close_initial(self.version, self.first_id, self.client_id, reason)
+        self.front.answer(self.first_id, datagram)
+        self.door.reply(datagram, self.client)
+        self.forget()
+
+    def move(self) -> None:
+        """A stateless reset, which the client takes as the push box's own: it comes again with an Initial."""
+        if self.leg:
+            self.front.adopt(self, self.leg.attempt.box)
+        self._reset()
+
+    def end(self, how: Ending) -> None:
+        """The push box is gone: the client learns by a reset rather than by its own idle time."""
+        self._reset()
+
+    def _reset(self) -> None:
+        box = self.front.quic.boxes.get(self.leg.attempt.box) if self.leg else None
+        if box:
+            if self.last_id:
+                self.door.reply(stateless_reset(box.reset_key, self.last_id), self.client)
+            for an_id in self.ids:
+                self.front.left(an_id, box.reset_key)
+        self.forget()
+
+
+class QuicLeg:
+    """One attempt at a push box, and after it the visit's place there."""
+
+    def __init__(self, front: Tables, owner: QuicVisit, attempt: Attempt) -> None:
+        self.front = front
+        self.owner = owner
+        self.attempt = attempt
+        self.early: list[bytes] = []
+
+    def begin(self) -> None:
+        """Send all that the client has sent so far."""
+        for datagram in list(self.owner.kept):
+            self.send(datagram, self.owner.client)
+        self.attempt.came(Reach.SENT)
+
+    def send(self, datagram: bytes, client: Address) -> None:
+        """To the push box. Guards against a retransmit that opens a connection at a box told to drain."""
+        if self.attempt.may_send():
+            self.attempt.came(Reach.WRITING)
+            path = self.front.path(client, self.attempt.box, self.owner, self.owner.door)
+            if path:
+                path.send(datagram)
+
+    def heard(self, path: Path, datagram: bytes) -> None:
+        """From the push box while the attempt is out: only a sound answer counts."""
+        owner = self.owner
+        for packet in split(datagram, len(owner.client_id)):
+            if packet.to_id != owner.client_id:
+                break
+            if packet.kind is Kind.NEGOTIATION:
+                if packet.from_id == owner.first_id:
+                    self.attempt.ends(Cause.ERROR)
+                    return
+                break
+            if sound_retry(packet, owner.first_id):
+                if owner.by_retry:  # RFC 9000 17.2.5.2: a client takes one Retry only, and had ours
+                    self.attempt.ends(Cause.ERROR)
+                else:
+                    self._stands(packet, path, datagram)
+                return
+            opened = open_initial(packet, owner.first_id, from_client=False)
+            if opened and opened.close_code is not None:
+                full = opened.close_code == CONNECTION_REFUSED
+                self.attempt.ends(Cause.FULL if full else Cause.ERROR)
+                return
+            if opened and opened.crypto:
+                self._stands(packet, path, datagram)
+                return
+            if opened:  # only an ACK: no client may hear of a push box that doesn't go on
+                self.front.drop("ack_only")
+                return
+            if packet.kind in (Kind.HANDSHAKE, Kind.SHORT) and len(self.early) < EARLY:
+                self.early.append(datagram)
+                return
+        self.front.drop("unsound_answer")
+
+    def _stands(self, packet: Packet, path: Path, datagram: bytes) -> None:
+        self.owner.learn(packet.from_id)
+        self.owner.last_id = packet.from_id
+        self.attempt.stands((path, (datagram, *self.early)))
+        self.early = []
+
+    def hang_up(self, how: Ending) -> None:
+        """Its places are given back, so that what the push box still sends reaches nobody."""
+        self.front.close_paths(self.owner)
+        if self.owner.leg is self and self.owner.reaching:
+            self.owner.leg = None
+
+
+def brought_over(front: Any, path: Path) -> QuicVisit:
+    """A visit for a path that has none: a connection from before this relay's start, or another relay's."""
+    owner = QuicVisit(front, path.door, path.client, path.last_id, b"", 0)
+    owner.brought = path
+    owner.confirmed = True
+    owner.last_id = path.last_id
+    return owner
--- /dev/null
+++ b/gradefront/routing/admission.py
@@ -0,0 +1,185 @@
+"""Who may ask at a door that anyone on the Internet can write to under any address. No I/O.
+
+A request costs the relay and push boxes; a datagram with a made-up sender costs its sender nothing. What stands
+between them, cheapest first: networks allowed and denied; a proof of address (a Retry's token) where push boxes
+can read it; under pressure, where no proof is to be had, the second sight: a sender that nobody knows is heard
+when it repeats itself, as every QUIC client does and a made-up one doesn't; rates by address and by network; a
+budget of CPU; a bound on those who wait, with a fair share of it for each network.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+
+from .buckets import Bucket, BucketTable
+from .networks import NetworkSet, Prefixes
+
+LOOK_US = 250_000  # the window in which fresh requests are counted
+CALM_US = 2_000_000  # calm for so long ends the pressure
+SECOND_SIGHT_US = 50_000  # a repeat that comes sooner is the same burst, not a client's timer
+MEMORY_US = 2_000_000  # a first sight is remembered for one to two of these
+MOST_FIRST_SIGHTS = 32_768  # in each of two halves; about 120 octets each
+MOST_PROVEN = 8_192  # addresses; about 200 octets each
+CREDIT = 2  # one client that is there outweighs so many requests that nobody stood behind
+MOST_CREDIT = 64
+FULL_PAUSE_US = 500_000  # a place among those who wait frees as soon as one of them is answered
+
+
+class Verdict(Enum):
+    """What becomes of a fresh request."""
+
+    TAKE = "take"
+    PROVE = "prove"  # ask for a proof of address
+    AGAIN = "again"  # not a word: a client repeats itself, and is heard then
+    LATER = "later"  # refuse, with a pause
+    DENY = "deny"  # not a word: this network may not come
+    DROP = "drop"  # not a word: over the rate, and not worth a refusal
+
+
+class Prove(Enum):
+    """When a proof of address is asked for."""
+
+    NEVER = "never"
+    ALWAYS = "always"
+    AUTO = "auto"
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What a door bears. Rates are requests a second."""
+
+    prove: Prove = Prove.NEVER
+    pressure: float = 200.0  # fresh requests a second, from which on the door is under pressure
+    address_rate: float = 100.0
+    address_burst: float = 1_000.0
+    network_rate: float = 400.0
+    network_burst: float = 2_000.0
+    unknown_rate: float = 200.0  # senders without a proof, all together, under pressure
+    refusal_rate: float = 100.0
+    cpu_share: float = 0.25  # of one core, for opening what fresh requests bring
+    most_waiting: int = 256
+    allow: NetworkSet = field(default_factory=NetworkSet)
+    deny: NetworkSet = field(default_factory=NetworkSet)
+    prefixes: Prefixes = field(default_factory=Prefixes)
+
+
+class Admission:
+    """The door's memory: every table has its size from the start, or a bound and an order of going."""
+
+    def __init__(self, limits: Limits, now_us: int) -> None:
+        self.limits = limits
+        self.addresses = BucketTable(limits.address_rate, limits.address_burst)
+        self.networks = BucketTable(limits.network_rate, limits.network_burst)
+        self.unknown = Bucket(limits.unknown_rate, max(1.0, limits.unknown_rate / 4), now_us)
+        self.refusals = Bucket(limits.refusal_rate, max(1.0, limits.refusal_rate / 2), now_us)
+        self.cpu = Bucket(limits.cpu_share * 1e6, limits.cpu_share * 250_000, now_us)  # microseconds
+        self.proven: OrderedDict[str, int] = OrderedDict()
+        self.sights: list[dict[bytes, int]] = [{}, {}]
+        self.turned_us = now_us
+        self.waiting: Counter[bytes] = Counter()  # by network; no more entries than may wait
+        self.count = 0
+        self.window_us = now_us
+        self.calm_since_us = now_us
+        self.under_pressure = False
+
+    # ---- what a fresh request gets
+
+    def judge(self, now_us: int, host: str, request: bytes, proven: bool) -> tuple[Verdict, int]:
+        """What becomes of a request from this address, and for `LATER` the pause. `request` tells one request
+        of a sender from another; `proven`: it came with a sound proof of address."""
+        limits = self.limits
+        if host in limits.deny or (limits.allow and host not in limits.allow):
+            return Verdict.DENY, 0
+        self._feel(now_us)
+        pressure = self.under_pressure
+        trusted = proven or self.is_proven(host)
+        has_token = self.addresses.take(host, now_us) if trusted or not pressure else False
+        if not proven and (limits.prove is Prove.ALWAYS
+                           or limits.prove is Prove.AUTO and pressure and not has_token):
+            return Verdict.PROVE, 0
+        if pressure and not proven and not has_token:
+            # Nobody known, or someone known who floods, or in whose name someone does.
+            if not self._seen_before(now_us, host, request):
+                return Verdict.AGAIN, 0
+            if not self.unknown.take(now_us):
+                return Verdict.DROP, 0
+        elif not has_token:
+            return self._refusal(now_us, trusted, self.addresses.wait_us(host, now_us))
+        network = limits.prefixes.of(host)
+        if not self.has_room(network):
+            return self._refusal(now_us, trusted, FULL_PAUSE_US)
+        if not self.networks.take(network, now_us):
+            return self._refusal(now_us, trusted, self.networks.wait_us(network, now_us))
+        if self.cpu.level(now_us) <= 0:
+            return self._refusal(now_us, trusted, self.cpu.wait_us(now_us))
+        return Verdict.TAKE, 0
+
+    def _refusal(self, now_us: int, known: bool, pause_us: int) -> tuple[Verdict, int]:
+        """A refusal costs a packet too: senders that nobody knows get none under pressure."""
+        if self.under_pressure and not known or not self.refusals.take(now_us):
+            return Verdict.DROP, 0
+        return Verdict.LATER, max(1_000, pause_us)
+
+    # ---- pressure, with hysteresis
+
+    def _feel(self, now_us: int) -> None:
+        self.count += 1
+        passed = now_us - self.window_us
+        bound = self.limits.pressure * LOOK_US / 1e6
+        if self.count > bound and passed <= LOOK_US:
+            self.under_pressure, self.calm_since_us = True, now_us
+        if passed > LOOK_US:
+            if self.count * LOOK_US > bound * passed / 2:
+                self.calm_since_us = now_us
+            self.window_us, self.count = now_us, 0
+        if self.under_pressure and now_us - self.calm_since_us > CALM_US:
+            self.under_pressure = False
+
+    # ---- first and second sight
+
+    def _seen_before(self, now_us: int, host: str, request: bytes) -> bool:
+        if now_us - self.turned_us > MEMORY_US or len(self.sights[0]) >= MOST_FIRST_SIGHTS:
+            self.sights, self.turned_us = [{}, self.sights[0]], now_us
+        what = host.encode() + b" " + request
+        first = self.sights[0].get(what) or self.sights[1].get(what)
+        if first is None:
+            self.sights[0][what] = now_us
+            return False
+        return now_us - first >= SECOND_SIGHT_US
+
+    # ---- addresses that have proved to be there
+
+    def credit(self, host: str, came: bool) -> None:
+        """Someone at this address read what was sent to it, or (`came` false) nobody did. Where made-up senders
+        use an address that is proven, it soon isn't any more."""
+        level = self.proven.get(host, 0) + (CREDIT if came else -1)
+        self.proven[host] = max(-MOST_CREDIT, min(MOST_CREDIT, level))
+        self.proven.move_to_end(host)
+        if len(self.proven) > MOST_PROVEN:
+            self.proven.popitem(last=False)
+
+    def is_proven(self, host: str) -> bool:
+        """Whether more came of this address's requests than not."""
+        return self.proven.get(host, 0) > 0
+
+    # ---- those who wait
+
+    def has_room(self, network: bytes) -> bool:
+        """Whether one more of this network may wait: while half is free anyone may, then each its share."""
+        most, waiting = self.limits.most_waiting, sum(self.waiting.values())
+        if waiting >= most:
+            return False
+        share = most // (len(self.waiting) + (network not in self.waiting) + 1)
+        return waiting < most // 2 or self.waiting[network] < max(1, share)
+
+    def enter(self, network: bytes) -> None:
+        """One of this network waits."""
+        self.waiting[network] += 1
+
+    def leave(self, network: bytes) -> None:
+        """One of this network waits no more."""
+        self.waiting[network] -= 1
+        if self.waiting[network] <= 0:
+            del self.waiting[network]
--- /dev/null
+++ b/gradefront/serve.py
@@ -0,0 +1,145 @@
+"""Start-up, signals, and the counters on request and at exit."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import fields, replace
+from pathlib import Path
+from typing import TYPE_CHECKING, cast
+
+from twisted.internet import reactor as twisted_reactor
+from twisted.internet.error import CannotListenError
+
+from milletdeal import Balancer
+
+from .config import Config, ConfigError, load
+from .core.desk import Desk
+from .net.asker import LoadAsker
+from .net.boxleg import PlatformCaller
+from .net.boxlist import BoxList, ListWatch
+from .net.front import PlatformFront
+from .net.reactor import Clock, Driver, Reactor
+from .quic.switch import FILE
+from .quic.switch import load as load_quic
+
+if TYPE_CHECKING:
+    from .quic.config import QuicConfig
+    from .quic.front import QuicFront
+
+log = logging.getLogger("gradefront")
+
+RELOADED = ("discovery", "filed_discovery", "sockets", "seed", "known")  # all else waits for the next start
+
+
+class Relay:
+    """One relay: the desk, the platform's front, and their way in and out of service."""
+
+    def __init__(self, config: Config, quic: QuicConfig | None, reactor: Reactor) -> None:
+        clock = Clock()
+        self.config = config
+        self.reactor = reactor
+        self.quic: QuicFront | None = None
+        self.driver = Driver(reactor, clock)
+        self.desk = desk = Desk(Balancer(config.settings, config.seed), config.settings, clock,
+                                self.driver.poke, config.tells_delay)
+        self.driver.desk = desk
+        self.box_list = BoxList(config, desk)
+        desk.watcher = self.list_watch = ListWatch(reactor, desk, self.box_list, config.discovery)
+        desk.asker = LoadAsker(reactor, desk, self.box_list.address)
+        self.box_list.take(config.known, whole=True)
+        caller = PlatformCaller(reactor, self.box_list.address)
+        self.front = PlatformFront(config, desk, caller, lambda: self.box_list.heard)
+        if quic:  # imported only where it is on: its libraries cost a start time and memory
+            from .quic.front import QuicFront
+            self.quic = QuicFront(config, quic, desk, reactor)
+        self.port = reactor.listenTCP(config.listen[1], self.front, 512, config.listen[0])
+
+    def show(self) -> None:
+        """The counters, as one log line."""
+        levels = {"connections_now": self.front.open, "visits_now": len(self.desk.visits)}
+        if self.quic:
+            levels |= self.quic.levels()
+        log.info("counters %s", self.desk.tally.line(**levels))
+
+    def reload(self) -> None:
+        """The file of the configuration was replaced: taken whole or not at all; what stands goes on."""
+        try:
+            told = load(os.environ)
+            quic = load_quic(told, quic_file()) if self.quic else None
+        except ConfigError as error:
+            log.error("configuration not taken, the old one stays: %s", error)
+            self.desk.tally.add("reloads_refused")
+            return
+        old = self.config
+        # LB_DISCOVERY tells the address of the start: once the file names another, the file goes before it.
+        moved = told.filed_discovery is not None and told.filed_discovery != old.filed_discovery
+        where = told.filed_discovery if moved and told.filed_discovery else old.discovery
+        later = [f.name for f in fields(told)
+                 if f.name not in RELOADED and getattr(told, f.name) != getattr(old, f.name)]
+        if later:
+            log.warning("taken at the next start only: %s", ", ".join(later))
+        self.config = replace(old, discovery=where, filed_discovery=told.filed_discovery,
+                              sockets=told.sockets)
+        self.front.config = self.config
+        self.desk.tally.add("reloads")
+        log.info("configuration taken; discovery at %s:%d", *where)
+        if where != old.discovery:
+            self.list_watch.go_to(where)
+        if self.quic and quic:
+            self.quic.configure(quic)
+
+    def leave(self) -> None:
+        """A planned restart."""
+        self.desk.leave(self._stop)
+
+    def _stop(self) -> None:
+        self.reactor.callLater(0.15, self.reactor.stop)  # time for the last answers to leave
+
+
+def quic_file() -> Path:
+    """The second front's file."""
+    return Path(os.environ.get("GRADEFRONT_QUIC", FILE))
+
+
+def _on_signal(number: signal.Signals, do: Callable[[], None], reactor: Reactor) -> None:
+    """Have the reactor do it, once it runs."""
+    signal.signal(number, lambda *_: reactor.callFromThread(do))
+
+
+def serve() -> int:
+    """Serve until told to stop; 0 then, 2 where the configuration makes no sense."""
+    reactor = cast(Reactor, twisted_reactor)
+    relay: Relay
+    # Before the file is read: a signal that comes meanwhile waits for the reactor and ends nothing.
+    for number, do in ((signal.SIGTERM, Relay.leave), (signal.SIGINT, Relay.leave),
+                       (signal.SIGUSR1, Relay.show), (signal.SIGHUP, Relay.reload)):
+        _on_signal(number, lambda do=do: do(relay), reactor)  # type: ignore[misc]
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
+                        format="%(asctime)s %(levelname)s %(name)s %(message)s")
+    try:
+        config = load(os.environ)
+        quic = load_quic(config, quic_file())
+    except ConfigError as error:
+        print(f"gradefront: {error}", file=sys.stderr)
+        return 2
+    try:
+        relay = Relay(config, quic, reactor)
+    except CannotListenError as error:
+        print(f"gradefront: {error}", file=sys.stderr)
+        return 2
+    log.info("settings: %s; message delays told: %s", config.settings, config.tells_delay)
+    where = relay.port.getHost()
+    log.info("relay %s listens on %s:%d", config.name, where.host, where.port)
+    for door in relay.quic.doors if relay.quic else ():
+        log.info("quic front listens on %s:%d", *door.address)
+    gc.collect()
+    gc.freeze()  # start-up objects stay; collecting them again and again would cost scarce CPU
+    reactor.run(installSignalHandlers=False)
+    relay.show()
+    return 0
+
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The town that gradefront serves, in small: push boxes, devices, box list, links. Never imported by gradefront."""
--- a/tests/quic_standin.py
+++ b/lab/quic.py
@@ -20,10 +20,12 @@
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
 
+from gradefront.quic.headers import reset_token
 from gradefront.quic.ids import IdForm
-from gradefront.quic.packets import close_initial, reset_token
+from gradefront.quic.initials import close_initial
+from gradefront.quic.tokens import TokenKey, TokenMint
 
-from .standin import soon
+from .town import soon
 
 FORM = IdForm(0, 2, 9)
 KEY = bytes(range(16))
@@ -83,12 +85,12 @@
 class Served(Endpoint):
     """A push box's side of one connection."""
 
-    def __init__(self, box: QuicBox, first_id: bytes) -> None:
+    def __init__(self, box: QuicBox, first_id: bytes, retry_id: bytes | None = None) -> None:
         made, key = certificate()
         super().__init__(QuicConnection(
             configuration=QuicConfiguration(is_client=False, certificate=made, private_key=key,
                                             connection_id_length=FORM.length),
-            original_destination_connection_id=first_id))
+            original_destination_connection_id=first_id, retry_source_connection_id=retry_id))
         self.box = box
         ours: Any = self.connection
         an_id = box.new_id()
@@ -116,12 +118,18 @@
 
 
 class QuicBox(asyncio.DatagramProtocol):
-    """A push box that speaks QUIC. `mood`: serve, refuse, fail, or silent (what comes is kept)."""
+    """A push box that speaks QUIC. `mood`: serve, refuse, fail, or silent (what comes is kept). With
+    `token_keys` (by sequence: key and IV in hex) it reads the relay's Retry tokens."""
 
-    def __init__(self, name: str, server_id: bytes, mood: str = "serve") -> None:
+    def __init__(self, name: str, server_id: bytes, mood: str = "serve",
+                 token_keys: dict[Any, tuple[Any, Any]] | None = None) -> None:
         self.name = name
         self.server_id = server_id
         self.mood = mood
+        self.mint: TokenMint | None = None
+        if token_keys:
+            keys = {n: TokenKey(bytes.fromhex(key), bytes.fromhex(iv)) for n, (key, iv) in token_keys.items()}
+            self.mint = TokenMint(keys, max(keys), 10_000_000)
         self.by_id: dict[bytes, Served] = {}
         self.connections: list[Served] = []
         self.opened_at: list[float] = []
@@ -161,7 +169,7 @@
             return
         served = self.by_id.get(header.destination_cid)
         if served is None and first:
-            served = Served(self, header.destination_cid)
+            served = self._accept(header)
             self.by_id[header.destination_cid] = self.by_id[served.connection.host_cid] = served
             self.connections.append(served)
             self.opened_at.append(time.monotonic())
@@ -170,6 +178,15 @@
             served.connection.receive_datagram(data, addr, asyncio.get_running_loop().time())
             served.transmit()
 
+    def _accept(self, header: Any) -> Served:
+        """A connection. What a Retry token of the relay's holds goes into the transport parameters
+        (RFC 9000 7.3): the client checks them."""
+        if self.mint and header.token:
+            inside = self.mint.unsealed(header.token)
+            if inside:
+                return Served(self, inside[0], inside[1])
+        return Served(self, header.destination_cid)
+
     def wake(self) -> None:
         """Serve at last what was kept."""
         self.mood = "serve"
@@ -178,6 +195,13 @@
             self.datagram_received(data, addr)
 
 
+def file_of(boxes: list[QuicBox], **more: object) -> dict[str, object]:
+    """The second front's file for these push boxes."""
+    return {"on": True, "listen": {"visit-checkin": "127.0.0.1:0"}, "config_id": FORM.number,
+            "server_id_length": FORM.server_id_length, "nonce_length": FORM.nonce_length,
+            "boxes": {box.name: box.told() for box in boxes}, **more}
+
+
 class Device(Endpoint, asyncio.DatagramProtocol):
     """A carer's device. `hop` changes its source port."""
 
--- a/tests/standin.py
+++ b/lab/town.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -116,6 +117,51 @@
         self.ended.set()
 
 
+    def kill(self) -> None:
+        """Vanish as a machine that loses power: nothing listens, what stood is reset."""
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class LineDevice:
+    """A carer's device on the platform's lines."""
+
+    OPEN = "OPEN {id:016x} 7f3a9c21e0b4d655 c=visit-checkin,d={d},g=5c0f6e1a2b3d4c59{more}"
+    IDS = count(0x9b1f03aa5c7e2d41)  # each connection has a new one
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.id = next(self.IDS)
+
+    @classmethod
+    async def connect(cls, port: int) -> LineDevice:
+        return cls(*await asyncio.open_connection("127.0.0.1", port))
+
+    def say(self, line: str) -> None:
+        self.writer.write(line.encode() + b"\r\n")
+
+    def open(self, d: int = 1500, more: str = "") -> None:
+        self.say(self.OPEN.format(id=self.id, d=d, more=more))
+
+    async def line(self) -> str:
+        """The next line, or "" at the end."""
+        return str((await soon(self.reader.readline())).decode().removesuffix("\r\n"))
+
+    async def rest(self) -> bytes:
+        """What still comes before the end, be that orderly or a reset."""
+        got = b""
+        with suppress(ConnectionResetError):
+            while part := await soon(self.reader.read(1)):
+                got += part
+        return got
+
+    async def ask(self, line: str) -> str:
+        self.say(line)
+        return await self.line()
+
+
 class Program:
     """The real program, started with a file of its own, its log read as it comes."""
 
@@ -160,6 +206,7 @@
     (folder / "quic.json").write_text(json.dumps(quic or {"on": False}))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "gradefront", stderr=asyncio.subprocess.PIPE,
+        cwd=Path(__file__).resolve().parent.parent,
         env={"LB_CONFIG": str(folder / "config.json"), "GRADEFRONT_QUIC": str(folder / "quic.json"),
              "PATH": "/usr/bin:/bin"})
     running = Program(process)
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -12,10 +12,10 @@
 from gradefront.config import Config, ConfigError, address, parse
 from gradefront.net.boxlist import BoxList, ListWatch
 from gradefront.net.lines import BadLine, read_first, read_id, read_report
+from lab.town import settings
 from milletdeal import interface as i
 
 from .helper import Bench
-from .standin import settings
 
 CONFIG: Config = parse({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
                         "settings": settings()}, {})
--- /dev/null
+++ b/tests/test_quic_ids.py
@@ -0,0 +1,66 @@
+"""Connection ids: the draft's published vectors, every form both ways, and the bounded book."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gradefront.quic.ids import IdBook, IdForm
+
+KEY = bytes.fromhex("8f95f09245765f80256934e50c66207f")
+
+#: Appendix B of draft-ietf-quic-load-balancers: configuration, server id, nonce, id.
+VECTORS = [
+    (0, "ed793a", "ee080dbf", "0720b1d07b359d3c"),
+    (1, "ed793a51d49b8f5fab65", "ee080dbf48", "2fcc381bc74cb4fbad2823a3d1f8fed2"),
+    (2, "ed793a51d49b8f5f", "ee080dbf48c0d1e5", "504dd2d05a7b0de9b2b9907afb5ecf8cc3"),
+    (0, "ed793a51d49b8f5fab", "ee080dbf48c0d1e55d", "125779c9cc86beb3a3a4a3ca96fce4bfe0cdbc"),
+]
+
+
+@pytest.mark.parametrize(("number", "server_id", "nonce", "made"), VECTORS)
+def test_published_vectors_both_ways(number: int, server_id: str, nonce: str, made: str) -> None:
+    form = IdForm(number, len(server_id) // 2, len(nonce) // 2, True, KEY)
+    assert form.make(bytes.fromhex(server_id), bytes.fromhex(nonce)).hex() == made
+    assert form.decode(bytes.fromhex(made)) == (number, bytes.fromhex(server_id), bytes.fromhex(nonce))
+
+
+@given(st.integers(1, 15), st.integers(4, 18), st.booleans(), st.data())
+def test_every_length_of_every_form_comes_back(server: int, nonce: int, hidden: bool, data: st.DataObject) -> None:
+    if server + nonce > 19:
+        with pytest.raises(ValueError, match="19 together"):
+            IdForm(3, server, nonce)
+        return
+    form = IdForm(3, server, nonce, True, KEY if hidden else None)
+    server_id = data.draw(st.binary(min_size=server, max_size=server))
+    salt = data.draw(st.binary(min_size=nonce, max_size=nonce))
+    made = form.make(server_id, salt)
+    assert form.decode(made) == (3, server_id, salt) and len(made) == form.length
+    if hidden and server + nonce > 6:
+        assert made[1:] != server_id + salt, "nothing was hidden"
+        assert IdForm(3, server, nonce, True, KEY[::-1]).decode(made) != (3, server_id, salt)
+
+
+def test_a_form_never_shows_its_key() -> None:
+    assert KEY.hex() not in repr(IdForm(0, 3, 4, True, KEY)) and repr(KEY) not in repr(IdForm(0, 3, 4, True, KEY))
+    with pytest.raises(ValueError, match="key: must be 16 octets"):
+        IdForm(0, 3, 4, True, KEY[:15])
+
+
+def test_a_book_tells_configurations_apart_and_stays_within_its_bound() -> None:
+    old, new = IdForm(0, 2, 9), IdForm(5, 3, 4, True, KEY)
+    book = IdBook([old, new], cached=64)
+    first, second = old.make(b"\0\1"), new.make(b"\0\0\2")
+    for _ in range(2):  # the second time from the cache
+        assert book.server_of(first) == (0, b"\0\1") and book.server_of(second) == (5, b"\0\0\2")
+    assert book.id_of(b"\x40" + second + b"payload") == second and book.id_of(b"\x40" + first + b"p") == first
+    assert book.id_of(b"\x40\xe0" + b"x" * 30) is None, "the number that names no push box"
+    assert book.id_of(b"\x40") is None and book.server_of(b"") is None
+    for _ in range(1_000):
+        book.server_of(os.urandom(8))
+    assert len(book.cache) <= 64 and book.server_of(first) == (0, b"\0\1")
+    with pytest.raises(ValueError, match="used twice"):
+        IdBook([old, IdForm(0, 3, 4)])
--- a/tests/test_quic_parts.py
+++ b/tests/test_quic_parts.py
@@ -10,23 +10,16 @@
 from aioquic._buffer import Buffer
 from aioquic.quic.configuration import QuicConfiguration
 from aioquic.quic.connection import QuicConnection
-from aioquic.quic.packet import QuicErrorCode, QuicPacketType, encode_quic_retry, pull_quic_header
+from aioquic.quic.packet import QuicErrorCode, encode_quic_retry, pull_quic_header
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gradefront.config import Config, ConfigError
 from gradefront.quic import config as quic_config
+from gradefront.quic import switch
+from gradefront.quic.headers import VERSIONS, Kind, invariants, reset_token, split, stateless_reset
 from gradefront.quic.ids import IdForm
-from gradefront.quic.packets import (
-    VERSIONS,
-    close_initial,
-    open_initial,
-    reset_token,
-    sound_retry,
-    split,
-    stateless_reset,
-    unknown_version,
-)
+from gradefront.quic.initials import close_initial, open_initial, sound_retry
 from milletdeal import interface as i
 
 CONFIG = Config(
@@ -62,10 +55,10 @@
        st.sampled_from([b"", b"\xc0\x00\x00\x00\x01", b"\xd0\x6b\x33\x43\xcf", b"\x40"]))
 def test_no_datagram_breaks_the_reader(noise: bytes, head: bytes) -> None:
     datagram = head + noise
-    unknown_version(datagram)
+    invariants(datagram)
     for packet in split(datagram, 8):
         assert packet.data and len(packet.data) <= len(datagram)
-        opened = open_initial(packet, packet.header.destination_cid, from_client=True)
+        opened = open_initial(packet, packet.to_id, from_client=True)
         assert opened is None, "noise that opens with the Initial keys"
         assert not sound_retry(packet, b"first-id")
 
@@ -74,7 +67,7 @@
 def test_a_close_of_ours_opens_for_the_client_only_under_its_own_first_id(version: int) -> None:
     datagram = close_initial(version, b"first-id", b"client", "BUSY 250")
     (packet,) = split(datagram, 8)
-    assert packet.header.destination_cid == b"client" and len(packet.data) == len(datagram)
+    assert packet.to_id == b"client" and len(packet.data) == len(datagram)
     opened = open_initial(packet, b"first-id", from_client=False)
     assert opened and opened.close_code == QuicErrorCode.CONNECTION_REFUSED
     assert open_initial(packet, b"other-id", from_client=False) is None
@@ -97,7 +90,7 @@
 def test_a_retry_is_sound_only_for_the_initial_that_it_answers() -> None:
     retry = encode_quic_retry(VERSIONS[0], b"box-id-1", b"client", b"first-id", b"token")
     (packet,) = split(retry, 8)
-    assert packet.header.packet_type is QuicPacketType.RETRY
+    assert packet.kind is Kind.RETRY
     assert sound_retry(packet, b"first-id") and not sound_retry(packet, b"other-id")
 
 
@@ -116,7 +109,15 @@
     ({"listen": {"visit-checkin": "x"}}, "HOST:PORT"),
     ({"boxes": {"a": {"server_id": "01", "address": "127.0.0.1:1", "reset_key": ""}}}, "boxes.a.server_id"),
     ({"boxes": {n: FILE["boxes"]["a"] for n in "ab"}}, "same server_id"),
-    ({"boxes": {"a": {}}}, "server_id: missing"),
+    ({"boxes": {"a": {}}}, "boxes.a.address: missing"),
+    ({"boxes": {"a": {"address": "127.0.0.1:5", "reset_key": "00"}}}, "boxes.a.server_id: missing"),
+    ({"limits": {"pressure": 0}}, "limits.pressure: .* has 0"), ({"limits": {"presure": 1}}, "limits.presure"),
+    ({"limits": {"allow": ["10.0.0.0/8"], "deny": ["10.1.0.0/16"]}}, "limits.deny: '10.1.0.0/16'"),
+    ({"limits": {"deny": ["10.1.0.0/99"]}}, "limits.deny: '10.1.0.0/99'"),
+    ({"retry": {"mode": "auto"}}, "retry.newest"), ({"retry": {"mode": "maybe"}}, "retry.mode"),
+    ({"ids": [{"config_id": 0, "server_id_length": 2, "nonce_length": 4, "key": "zz"}]}, "ids.0..key: not hex"),
+    ({"ids": [{"config_id": 0, "server_id_length": 2, "nonce_length": 4}] * 2}, "ids: config_id: 0 is used twice"),
+    ({"classes": {"alpn": {"roster": "nobody"}}}, "classes.alpn.roster: no class is named 'nobody'"),
 ])
 def test_a_file_without_sense_is_refused_by_field(change: dict[str, Any], said: str) -> None:
     quic_config.parse(FILE, CONFIG)
@@ -125,5 +126,5 @@
 
 
 def test_as_shipped_the_front_is_off() -> None:
-    assert quic_config.load(CONFIG, quic_config.FILE) is None
-    assert quic_config.load(CONFIG, Path("no/such/file")) is None
+    assert switch.load(CONFIG, switch.FILE) is None
+    assert switch.load(CONFIG, Path("no/such/file")) is None
--- a/tests/test_quic_service.py
+++ b/tests/test_quic_service.py
@@ -11,8 +11,8 @@
 
 from aioquic.quic.packet import QuicErrorCode
 
-from .quic_standin import FORM, Device, QuicBox
-from .standin import BUSY_S, Discovery, Program, program, settings, soon
+from lab.quic import FORM, Device, QuicBox, file_of
+from lab.town import BUSY_S, Discovery, Program, program, settings, soon
 
 HOPS = 60
 DEVICES = 6
@@ -47,9 +47,7 @@
     for box in boxes:
         await box.open()
         discovery.add(box.name, box.port)
-    file = {"on": True, "listen": {"visit-checkin": "127.0.0.1:0"}, "config_id": FORM.number,
-            "server_id_length": FORM.server_id_length, "nonce_length": FORM.nonce_length,
-            "boxes": {b.name: b.told() for b in boxes}, **quic}
+    file = file_of(boxes, **quic)
     async with program(folder, discovery, told or settings(), file) as relay:
         await soon(discovery.asked.wait())
         here = Town(boxes, discovery, relay)
--- /dev/null
+++ b/tests/test_quic_tokens.py
@@ -0,0 +1,155 @@
+"""Retry tokens, the ClientHello's reader, and frames: what comes from outside is taken apart without a crash."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from aioquic.quic.configuration import QuicConfiguration
+from aioquic.quic.connection import QuicConnection
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gradefront.quic.headers import V1, V2, invariants, read_varint, split, varint, version_negotiation
+from gradefront.quic.hello import Hello, HelloReader, Unsound
+from gradefront.quic.initials import keys_of, make_retry, open_initial, read_frames, seal_initial, sound_retry
+from gradefront.quic.tokens import Standing, TokenKey, TokenMint
+
+KEYS = {3: TokenKey(bytes(range(16)), bytes(12)), 4: TokenKey(bytes(16), bytes(range(12)))}
+MINT = TokenMint(KEYS, 4, 10_000_000)
+CLIENT = ("192.0.2.7", 4433)
+NOW = 1_800_000_000_000_000
+
+
+def test_a_token_is_worth_something_at_its_address_to_its_id_in_its_time_only() -> None:
+    token = MINT.make(CLIENT, b"first-id", b"retry-id", NOW)
+
+    def shown(token: bytes = token, client: tuple[str, int] = CLIENT, to: bytes = b"retry-id",
+              now: int = NOW) -> Standing:
+        return MINT.read(token, client, to, now).standing
+
+    assert MINT.read(token, CLIENT, b"retry-id", NOW)[:2] == (Standing.PROVEN, b"first-id")
+    assert MINT.unsealed(token) == (b"first-id", b"retry-id"), "what a push box needs"
+    assert shown(client=("192.0.2.8", 4433)) is Standing.STOLEN and shown(client=("192.0.2.7", 1)) is Standing.STOLEN
+    assert shown(client=("2001:db8::1", 4433)) is Standing.STOLEN
+    assert shown(to=b"other-id") is Standing.MISPLACED
+    assert shown(now=NOW + 10_001_000) is Standing.EXPIRED and shown(now=NOW + 9_999_000) is Standing.PROVEN
+    for at in range(1, len(token)):
+        bent = token[:at] + bytes([token[at] ^ 1]) + token[at + 1:]
+        assert shown(bent) is Standing.FORGED, at
+    assert shown(b"") is Standing.NONE and shown(b"\x7fof a key that nobody has") is Standing.NONE
+
+
+def test_a_rotated_key_is_read_while_it_is_known() -> None:
+    old = TokenMint(KEYS, 3, 10_000_000).make(CLIENT, b"first-id", b"retry-id", NOW)
+    assert MINT.read(old, CLIENT, b"retry-id", NOW).standing is Standing.PROVEN
+    assert TokenMint({4: KEYS[4]}, 4, 1).read(old, CLIENT, b"retry-id", NOW).standing is Standing.NONE
+    with pytest.raises(ValueError, match="newest"):
+        TokenMint(KEYS, 9, 1)
+
+
+def test_a_box_s_new_token_passes_and_ours_prove_the_address_from_any_port() -> None:
+    ours = MINT.make_new(CLIENT, NOW, 86_400_000_000)
+    assert MINT.read(ours, (CLIENT[0], 9), b"any-id..", NOW).standing is Standing.PROVEN
+    for token in (ours[:-1] + b"x", b"\x84" + b"a box's own, of any length" * 3):
+        assert MINT.read(token, CLIENT, b"any-id..", NOW).standing is Standing.NONE, "not to be refused"
+    assert MINT.read(ours, ("192.0.2.8", 9), b"any-id..", NOW).standing is Standing.NONE
+    assert repr(KEYS[3]) == "TokenKey(...)"
+
+
+@given(st.binary(max_size=200))
+def test_no_token_breaks_the_mint(token: bytes) -> None:
+    assert MINT.read(token, CLIENT, b"x", NOW).standing in (Standing.NONE, Standing.FORGED)
+    MINT.unsealed(token)
+
+
+def hello_of(name: str, protocols: list[str]) -> tuple[bytes, tuple[tuple[int, bytes], ...]]:
+    """A real client's first datagram, and its CRYPTO frames."""
+    client = QuicConnection(configuration=QuicConfiguration(is_client=True, server_name=name,
+                                                            alpn_protocols=protocols))
+    client.connect(("127.0.0.1", 1), 0.0)
+    datagram = client.datagrams_to_send(0.0)[0][0]
+    packet = split(datagram)[0]
+    opened = open_initial(packet, packet.to_id, from_client=True)
+    assert opened
+    return datagram, opened.crypto
+
+
+@given(st.integers(0, 2**32), st.integers(1, 40))
+def test_a_hello_comes_together_from_pieces_in_any_order_and_more_than_once(seed: int, size: int) -> None:
+    _, crypto = HELLO
+    text = b"".join(piece for _, piece in crypto)
+    pieces = [(at, text[at:at + size + 7]) for at in range(0, len(text), size)]  # they overlap
+    rng = random.Random(seed)
+    rng.shuffle(pieces)
+    reader = HelloReader()
+    for at, piece in pieces + pieces[:3]:
+        try:
+            reader.take(at, piece)
+        except Unsound:
+            assert len(pieces) > 64, "only too many pieces at once are too many"
+            return
+    assert reader.hello() == Hello("box.careshift.example", ("mqtt", "roster"))
+
+
+HELLO = hello_of("Box.careshift.example", ["mqtt", "roster"])
+
+
+@given(st.binary(max_size=400), st.integers(0, 300), st.integers(0, 255))
+def test_no_hello_breaks_its_reader(noise: bytes, at: int, octet: int) -> None:
+    text = bytearray(HELLO[1][0][1])
+    text[at % len(text)] = octet
+    for piece in (noise, bytes(text), b"\x01" + noise):
+        reader = HelloReader()
+        try:
+            reader.take(0, piece)
+            reader.hello()
+        except Unsound as error:
+            assert str(error)
+    reader = HelloReader()
+    with pytest.raises(Unsound):
+        reader.take(16_380, b"12345")
+
+
+@given(st.integers(0, 2**62 - 1))
+def test_varints_come_back(value: int) -> None:
+    assert read_varint(varint(value), 0) == (value, len(varint(value)))
+    assert read_varint(varint(value)[:-1], 0) is None
+
+
+@pytest.mark.parametrize("version", [V1, V2])
+def test_initials_of_ours_open_and_a_retry_is_bound_to_the_first_id(version: int) -> None:
+    payload = b"\x06\x00\x04text".ljust(1_150, b"\0")
+    made = seal_initial(version, b"first-id", b"first-id", b"client", payload, True, b"tk")
+    (packet,) = split(made)
+    assert (packet.token, packet.version, packet.from_id) == (b"tk", version, b"client")
+    opened = open_initial(packet, b"first-id", from_client=True)
+    assert opened and opened.crypto == ((0, b"text"),) and open_initial(packet, b"other-id", True) is None
+    (retry,) = split(make_retry(version, b"first-id", b"client", b"new-id", b"token"))
+    assert sound_retry(retry, b"first-id") and not sound_retry(retry, b"other-id")
+    assert (retry.to_id, retry.from_id, retry.token) == (b"client", b"new-id", b"token")
+
+
+def test_keys_are_those_of_the_rfc() -> None:
+    """RFC 9001 A.1 and RFC 9369 A.1."""
+    first = bytes.fromhex("8394c8f03e515708")
+    assert keys_of(V1, first, True)[0].hex() == "1f369613dd76d5467730efcbe3b1a22d"
+    assert keys_of(V1, first, False)[2].hex() == "c206b8d9b9f0f37644430b490eeaa314"
+    assert keys_of(V2, first, True)[0].hex() == "8b1a0bc121284290a29e0971b5cd045d"
+
+
+@given(st.binary(max_size=300))
+def test_no_frames_break_the_reader(payload: bytes) -> None:
+    opened = read_frames(payload)
+    assert opened is None or all(len(piece) <= len(payload) for _, piece in opened.crypto)
+
+
+def test_version_negotiation_turns_ids_round_and_names_our_versions() -> None:
+    head = invariants(bytes.fromhex("c0babababa") + b"\x03abc" + b"\x02de" + bytes(1_200))
+    assert head
+    told = version_negotiation(head)
+    back = invariants(told)
+    assert back and (back.version, back.to_id, back.from_id) == (0, b"de", b"abc")
+    versions = [int.from_bytes(told[at:at + 4]) for at in range(back.end, len(told), 4)]
+    assert V1 in versions and V2 in versions and len(versions) == 3
+    assert [v for v in versions if v & 0x0F0F0F0F == 0x0A0A0A0A], "one that nobody speaks (RFC 9000 15)"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,46 +8,14 @@
 import signal
 import time
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
-from itertools import count
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
-from .standin import BUSY_S, Discovery, Program, PushBox, program, settings, soon
+from lab.town import BUSY_S, Discovery, Program, PushBox, program, settings, soon
+from lab.town import LineDevice as Device
 
-OPEN = "OPEN {id:016x} 7f3a9c21e0b4d655 c=visit-checkin,d={d},g=5c0f6e1a2b3d4c59{more}"
-IDS = count(0x9b1f03aa5c7e2d41)  # each connection has a new one
-
-
-class Device:
-    """A carer's device on the platform's lines."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.reader = reader
-        self.writer = writer
-        self.id = next(IDS)
-
-    def say(self, line: str) -> None:
-        self.writer.write(line.encode() + b"\r\n")
-
-    def open(self, d: int = 1500, more: str = "") -> None:
-        self.say(OPEN.format(id=self.id, d=d, more=more))
-
-    async def line(self) -> str:
-        """The next line, or "" at the end."""
-        return str((await soon(self.reader.readline())).decode().removesuffix("\r\n"))
-
-    async def rest(self) -> bytes:
-        """What still comes before the end, be that orderly or a reset."""
-        got = b""
-        with suppress(ConnectionResetError):
-            while part := await soon(self.reader.read(1)):
-                got += part
-        return got
-
-    async def ask(self, line: str) -> str:
-        self.say(line)
-        return await self.line()
+OPEN = Device.OPEN
 
 
 class Town:
@@ -140,8 +108,8 @@
             assert await standing.line() == "UP r-1"
             for junk in (b"\r\n", b"OPEN\r\n", b"GET / HTTP/1.1\r\n", b"OPEN a b \xff\xfe\r\n",
                          OPEN.format(id=standing.id, d=1500, more="").encode() + b"\r\n",
-                         OPEN.format(id=next(IDS), d=-5, more="").encode() + b"\r\n",
-                         OPEN.format(id=next(IDS), d=1500, more="").encode() + b"\r\none more\r\n"):
+                         OPEN.format(id=next(Device.IDS), d=-5, more="").encode() + b"\r\n",
+                         OPEN.format(id=next(Device.IDS), d=1500, more="").encode() + b"\r\none more\r\n"):
                 bad = await here.device()
                 bad.writer.write(junk)
                 assert await bad.line() == "ERR" and await bad.line() == ""
