Tell phases of push boxes in the QUIC suite through one context manager

Cause: four cases repeated the same lines to change a push box's phase, put it back, and wait until the relay knew.

Change: `told` does that for all four; what they assert stays as it was.

--- a/lab/conform/quic_cases.py
+++ b/lab/conform/quic_cases.py
@@ -5,6 +5,8 @@
 import asyncio
 import os
 import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 from gradefront.quic.headers import V1, V2, VERSIONS, Kind, invariants, reset_token, split, varint
@@ -1016,14 +1018,31 @@
 
 # ---- moves and resets
 
+@asynccontextmanager
+async def told(place: Place, box: Any, phase: str) -> AsyncIterator[None]:
+    """The box list tells this of a push box; afterwards that it serves, and the relay knows that it does."""
+    place.discovery.tell(box.name, phase)
+    try:
+        yield
+    finally:
+        place.discovery.tell(box.name, "SERVING")
+        probe = await place.client()
+        while True:
+            probe.say(box.new_id())
+            try:
+                await asyncio.wait_for(place.inbox.get(), 0.1)
+                break
+            except TimeoutError:
+                continue
+
+
 @case("RFC 9000 10.3", "A gone push box's connections end with a stateless reset for the id used last")
 async def gone_box(place: Place) -> None:
     client, box, _, _ = await place.standing()
     last = box.new_id()
     client.say(last)
     await place.reached()
-    place.discovery.tell(box.name, "DELETED")
-    try:
+    async with told(place, box, "DELETED"):
         reset = await client.hear()
         assert reset[-16:] == reset_token(RESET_KEY, last) and 21 <= len(reset) <= 43 and reset[0] & 0xC0 == 0x40
         client.say(last, b"x" * 60)
@@ -1031,16 +1050,12 @@
         assert again[-16:] == reset_token(RESET_KEY, last) and len(again) < 60 + len(last) + 1, "given again"
         client.say(last, b"")
         await client.nothing_came()  # RFC 9000 10.3.3: too short to be answered with something shorter
-    finally:
-        place.discovery.tell(box.name, "SERVING")
-        await _listed(place, box)
 
 
 @case("BRIEF rule 3", "Ids of a gone push box lead nowhere")
 async def ids_of_a_gone_box(place: Place) -> None:
     box = place.boxes[2]
-    place.discovery.tell(box.name, "DELETED")
-    try:
+    async with told(place, box, "DELETED"):
         watch = await place.client()
         while (await place.relay.counters()).get("quic_dropped_gone_box", 0) == 0:
             watch.say(box.new_id())
@@ -1050,28 +1065,12 @@
         client.say(box.new_id())
         await client.nothing_came()
         place.nothing_reached()
-    finally:
-        place.discovery.tell(box.name, "SERVING")
-        await _listed(place, box)
-
-
-async def _listed(place: Place, box: Any) -> None:
-    """Wait until the relay knows that a push box is back."""
-    probe = await place.client()
-    while True:
-        probe.say(box.new_id())
-        try:
-            await asyncio.wait_for(place.inbox.get(), 0.1)
-            return
-        except TimeoutError:
-            continue
 
 
 @case("BRIEF rule 3", "A draining push box gets no Initial, also not one whose id names it; what stands goes on")
 async def draining_box(place: Place) -> None:
     client, box, box_id, _ = await place.standing()
-    place.discovery.tell(box.name, "DRAINING")
-    try:
+    async with told(place, box, "DRAINING"):
         await asyncio.sleep(0.5)
         while not place.inbox.empty():
             place.inbox.get_nowait()
@@ -1084,16 +1083,12 @@
         client.say(box_id)
         found, data, _ = await place.reached()
         assert found is box and data[0] < 0x80
-    finally:
-        place.discovery.tell(box.name, "SERVING")
-        await _listed(place, box)
 
 
 @case("BRIEF rule 3", "0-RTT and stray Initials whose id names a draining push box don't reach it")
 async def stray_to_a_draining_box(place: Place) -> None:
     box = place.boxes[0]
-    place.discovery.tell(box.name, "DRAINING")
-    try:
+    async with told(place, box, "DRAINING"):
         await place.relay.line(f"push box {box.name} drains")
         client = await place.client()
         an_id = box.new_id()
@@ -1101,9 +1096,6 @@
                     client.initial(to_id=an_id, keys_of=b"another relay's first id"))
         await client.nothing_came()
         place.nothing_reached()
-    finally:
-        place.discovery.tell(box.name, "SERVING")
-        await _listed(place, box)
 
 
 @case("RFC 9000 17.2.2", "A stray Initial of a connection that another relay set up goes on by its id")
