Open a door for operators: calls, true figures, a drain that is spread over its time

Design: one table of duties (starting, serving, lame duck, leaving) owned by the desk, read by the front's PING and the door alike; a thin LineReceiver for the door, bounded in callers, time and bytes; figures rendered from the tally, counted where the thing happens.

--- a/gradefront/config.py
+++ b/gradefront/config.py
@@ -36,6 +36,7 @@
     tells_delay: bool
     known: dict[str, Any] = field(default_factory=dict)
     filed_discovery: Address | None = None  # what the file itself says, whatever the variable says
+    admin: Address | None = None  # the operators' door; none where neither file nor variable tells one
 
 
 def address(text: object, what: str) -> Address:
@@ -85,6 +86,7 @@
     family = info.get("familyInfo") or {}
     known = told.get("known")
     filed = address(told["discovery"], "discovery") if told.get("discovery") else None
+    admin = environment.get("LB_ADMIN") or told.get("admin")
     sockets = int(limits.get("sockets", 1024))
     if sockets < 1:
         raise ConfigError(f"limits.sockets: '{sockets}' is not above 0")
@@ -97,7 +99,8 @@
         settings=settings, class_names=names("grades"), zones=names("zones"), models=names("models"),
         tenants=names("parties"), report_names=report_names,
         tells_delay=bool(family.get("tellsDelay", False)),
-        known=known if isinstance(known, dict) else {}, filed_discovery=filed)
+        known=known if isinstance(known, dict) else {}, filed_discovery=filed,
+        admin=address(admin, "LB_ADMIN") if admin else None)
 
 
 def _seed(value: object) -> int:
--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -12,6 +12,7 @@
 
 from milletdeal import interface as i
 
+from .duty import Duty, Word, step
 from .ports import BoxAsker, BoxCaller, Call, CarerSide, Decider, Ending, ListWatcher
 from .pulse import PULSE_US, Pulse
 from .shortfall import Cause, Reach, Shortfall
@@ -38,15 +39,18 @@
 GONE_BY_US = 450_000  # the process ends by then
 LEAVE_STEP_US = 50_000
 FRONT_US = 450_000  # after SIGTERM: the front still sends carers here for 0.2 to 0.4 s
+LAME_BY_US = 3_200_000  # after the call to empty the relay: the last carer is told by then, of 4 s that there are,
+LAME_ANSWER_US = 3_600_000  # and whoever still waits for a push box is answered
 
 
 class Desk:
     """One relay's visits, round one decision module."""
 
     def __init__(self, decider: Decider, settings: i.Settings, clock: Callable[[], int],
-                 poke: Callable[[], None], tells_delay: bool = True) -> None:
+                 poke: Callable[[], None], tells_delay: bool = True, class_names: tuple[str, ...] = ()) -> None:
         self.decider = decider
         self.settings = settings
+        self.class_names = class_names
         self.clock = clock
         self.poke = poke  # asks the platform for a turn soon
         self.tally = Tally()
@@ -57,7 +61,8 @@
         self.boxes: dict[str, i.ServerState] = {}
         self.asker: BoxAsker | None = None
         self.watcher: ListWatcher | None = None
-        self.leaving = False
+        self.duty = Duty.STARTING
+        self.emptying: object = None  # of the drain that is on: a step of an earlier one does nothing
         aims = [c.message_aim_us for c in settings.classes if c.message_aim_us]
         self.pulse = Pulse(min(aims)) if aims and tells_delay else None
         self.kill_us = min(LONGEST_US, max(c.deadline_us for c in settings.classes)) + KILL_US
@@ -122,7 +127,7 @@
             case i.Move():
                 visit = self.visits.get(action.request)
                 # On leaving, a visit whose box goes on serving is told last: now no relay might take it in.
-                if visit and not (self.leaving and visit.attempt and self.serves(visit.attempt.box)):
+                if visit and not (self.duty is Duty.LEAVING and visit.attempt and self.serves(visit.attempt.box)):
                     self.move(visit)
             case i.Probe():
                 self.tally.add("probes")
@@ -145,7 +150,13 @@
             if entry.state is i.ServerState.DRAINING and self.boxes.get(entry.server) is not entry.state:
                 log.info("push box %s drains", entry.server)
             self.boxes[entry.server] = entry.state
+            if entry.state is i.ServerState.GONE:
+                del self.boxes[entry.server]
         self.put(update)
+        self._say_ready()
+
+    def _say_ready(self) -> None:
+        self.hear(Word.READY if self.boxes else Word.UNREADY)
 
     def list_lost(self, why: str) -> None:
         """A call for the list failed, or the watch on it ended."""
@@ -217,6 +228,10 @@
                 self.tally.add("overdue")
             self._give_up(visit)
 
+    def count(self, name: str, klass: int) -> None:
+        """Count an answer for its class, where it is given."""
+        self.tally.add_of_class(name, self.class_names[klass] if klass < len(self.class_names) else str(klass))
+
     def turn_away(self, visit: Visit) -> None:
         """The carer's side broke its protocol before the visit stood: it gets its answer now."""
         if visit.stage in (Stage.WAITING, Stage.REACHING):
@@ -241,9 +256,11 @@
             visit.carer.move()
         elif isinstance(answer, i.Refuse):
             self.tally.add("refused")
+            self.count("deferred_total", visit.call.klass)
             visit.carer.refuse(answer.retry_after_us)
         else:
             self.tally.add("failed")
+            self.count("errored_total", visit.call.klass)
             visit.carer.fail()
 
     def _over(self, visit: Visit) -> None:
@@ -280,6 +297,8 @@
 
     def came(self, attempt: Attempt) -> None:
         """An attempt came further: from the connect's patience to the whole attempt's."""
+        if attempt.reach is Reach.SENT:
+            self.tally.add("sends_total")
         if attempt.reach is Reach.WRITING and attempt.timer:
             attempt.timer.cancel()
             attempt.timer = self.wheel.set(attempt.until_us, partial(attempt.ends, Cause.SILENT))
@@ -300,6 +319,7 @@
             took = now - attempt.began_us
             self.put(i.Established(visit.number, attempt.number, attempt.box, took))
         self.tally.add("stood")
+        self.count("answered_total", visit.call.klass)
         assert attempt.leg is not None
         visit.carer.seat(attempt.leg, receipt)
 
@@ -396,31 +416,81 @@
             elif now - max(attempt.heard_us, attempt.asked[-1] if attempt.asked else 0) > DEAD_LINE_US:
                 self.move(visit)
 
-    # ---- leaving
+    # ---- taking clients, and sending them away
+
+    @property
+    def takes_clients(self) -> bool:
+        """What the front's `PING` and the operators' door say alike."""
+        return self.duty is Duty.SERVING
+
+    def hear(self, word: Word) -> bool:
+        """Take one step of the table of duties, if there is one."""
+        to = step(self.duty, word)
+        if to is None:
+            return False
+        if to is not self.duty:
+            log.info("%s, was %s", to.value, self.duty.value)
+        self.duty = to
+        return True
+
+    def lame_duck(self) -> bool:
+        """Empty the relay, which goes on running: what still comes is served, all is told to move in time."""
+        was = self.duty
+        if not self.hear(Word.LAMEDUCK):
+            return False
+        if was not in (Duty.LAME_DUCK, Duty.LEAVING):
+            token = self.emptying = object()
+            by_us = self.clock() + LAME_BY_US
+            # Not at once: the front still sends carers here, and some would come back to where they left.
+            self.after(FRONT_US, partial(self._empty_some, token, by_us))
+            self.after(LAME_ANSWER_US, partial(self._answer_waiting, token))
+        return True
+
+    def rejoin(self) -> bool:
+        """The end of the drain, at once: nobody is moved any more on its account."""
+        if not self.hear(Word.REJOIN):
+            return False
+        self.emptying = None
+        self._say_ready()
+        return True
 
     def leave(self, done: Callable[[], None]) -> None:
         """The relay is to stop: answer on, tell what stands to move, spread over the time there is."""
-        if self.leaving:
+        if self.duty is Duty.LEAVING:
             return
-        self.leaving = True
-        began = self.clock()
+        lame = self.duty is Duty.LAME_DUCK
+        self.hear(Word.LEAVE)
         log.info("leaving: %d visits to be told", len(self.visits))
-        self.after(max(FRONT_US, self.kill_us - LEAVE_AFTER_US), partial(self._leave_some, began))
+        if not lame:  # else the drain that is on goes on; it is as fast
+            token = self.emptying = object()
+            by_us = self.clock() + self.kill_us - LEAVE_BY_US
+            self.after(max(FRONT_US, self.kill_us - LEAVE_AFTER_US), partial(self._empty_some, token, by_us))
         self.after(self.kill_us - GONE_BY_US, partial(self._gone, done))
 
-    def _leave_some(self, began_us: int) -> None:
+    def _empty_some(self, token: object, by_us: int) -> None:
+        """Tell a part of what stands to move, so that the last is told by then; later comers at once."""
+        if self.emptying is not token:
+            return
         standing = [v for v in self.visits.values() if v.stage is Stage.STANDING]
-        left = max(1, (began_us + self.kill_us - LEAVE_BY_US - self.clock()) // LEAVE_STEP_US)
-        for visit in standing[:-(-len(standing) // left)]:
+        left_us = max(LEAVE_STEP_US, by_us - self.clock())
+        now = -(-len(standing) * LEAVE_STEP_US // left_us)
+        for visit in standing[:now]:
             self.move(visit)
-        if self.clock() < began_us + self.kill_us - GONE_BY_US:
-            self.wheel.set(self.clock() + LEAVE_STEP_US, partial(self._leave_some, began_us))
+        pause_us = max(LEAVE_STEP_US, left_us // (len(standing) - now + 1) if len(standing) > now else 0)
+        self.after(pause_us, partial(self._empty_some, token, by_us))
+
+    def _answer_waiting(self, token: object) -> None:
+        """Whoever still waits for a push box gets the answer now."""
+        if self.emptying is not token:
+            return
+        for visit in list(self.visits.values()):
+            if visit.stage is not Stage.STANDING:
+                self._answer(visit, i.Refuse(visit.number))
 
     def _gone(self, done: Callable[[], None]) -> None:
         """The last moment: whoever still waits gets the answer that this relay won't give later."""
+        self._answer_waiting(self.emptying)
         for visit in list(self.visits.values()):
-            if visit.stage is Stage.STANDING:
-                self.move(visit)
-            else:
-                self._answer(visit, i.Refuse(visit.number))
+            self.move(visit)
+        self.emptying = None
         done()
--- a/gradefront/core/ports.py
+++ b/gradefront/core/ports.py
@@ -86,3 +86,6 @@
 
     def handle(self, now_us: int, event: Event) -> list[Action]:
         """Take one event and return what to do."""
+
+    def avoided(self, now_us: int) -> int:
+        """How many listed push boxes get nothing new now, or only for want of others."""
--- a/gradefront/net/front.py
+++ b/gradefront/net/front.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
@@ -76,7 +75,7 @@
             self.front.desk.turn_away(self.visit)
         elif line == b"PING" and self.pings < MOST_PINGS:
             self.pings += 1
-            self.say(b"PONG" if self.front.ready() else b"ERR")
+            self.say(b"PONG" if self.front.desk.takes_clients else b"ERR")
         else:
             self._first(line)
 
@@ -92,6 +91,7 @@
         if front.held() + 1 > front.config.sockets - SPARE_SOCKETS:
             # Guards against running out of descriptors: a visit holds one more, to its push box.
             front.desk.tally.add("no_sockets")
+            front.desk.count("deferred_total", call.klass)
             self._last(b"BUSY")
             return
         self.patience.cancel()
@@ -187,11 +187,10 @@
 
     noisy = False
 
-    def __init__(self, config: Config, desk: Desk, caller: BoxCaller, ready: Callable[[], bool]) -> None:
+    def __init__(self, config: Config, desk: Desk, caller: BoxCaller) -> None:
         self.config = config
         self.desk = desk
         self.caller = caller
-        self.ready = ready
         self.open = 0
         self.door: dict[CarerLine, None] = {}  # connections that have made no visit yet, the oldest first
         self.ids: dict[bytes, None] = {}  # of connections that made a visit, the oldest first
--- /dev/null
+++ b/gradefront/ops/door.py
@@ -0,0 +1,117 @@
+"""The operators' door: one line to a connection, one answer, the end.
+
+Whoever holds a connection without a whole call is bounded in number, time and bytes, and can't shut the next
+caller out.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from twisted.internet.protocol import ServerFactory
+from twisted.protocols.basic import LineReceiver
+
+from gradefront.core.desk import Desk
+
+log = logging.getLogger("gradefront.door")
+
+LONGEST = 256  # bytes of a call
+PATIENCE_US = 3_000_000  # for a whole call
+FLUSH_US = 2_000_000  # for the caller to read its answer
+CALLERS = 12  # from here on the one that has stood longest goes,
+FRESH_US = 250_000  # unless it is as new as this: its line may be on its way
+MOST_CALLERS = 24  # at the most, whatever their age
+
+Answer = Callable[[], list[str]]
+
+
+class CallerLine(LineReceiver):
+    """One caller."""
+
+    delimiter = b"\n"  # with or without a CR before it
+    MAX_LENGTH = LONGEST
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.answered = False
+
+    @property
+    def wire(self) -> Any:
+        """The transport."""
+        return self.transport
+
+    def connectionMade(self) -> None:
+        """A caller came."""
+        self.came_us = self.door.desk.clock()
+        self.patience = self.door.desk.after(PATIENCE_US, lambda: self.answer(["fail no call came"]))
+        self.door.came(self)
+
+    def lineReceived(self, line: bytes) -> None:
+        """The call. Guards the relay: an exception ends this connection only."""
+        if self.answered:
+            return
+        try:
+            self.answer(self.door.call(line))
+        except Exception:
+            log.exception("a call at the door failed")
+            self.answer(["fail an error in the relay"])
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """An overlong call."""
+        self.answer(["fail an overlong call"])
+
+    def answer(self, lines: list[str]) -> None:
+        """Answer, once, and end."""
+        if self.answered:
+            return
+        self.answered = True
+        self.patience.cancel()
+        self.wire.write("".join(f"{line}\r\n" for line in lines).encode())
+        self.wire.loseConnection()
+        self.patience = self.door.desk.after(FLUSH_US, self.wire.abortConnection)
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """The caller left, or has its answer."""
+        self.answered = True
+        self.patience.cancel()
+        self.door.callers.pop(self, None)
+
+
+class Door(ServerFactory):
+    """Answers calls from a table of them."""
+
+    noisy = False
+
+    def __init__(self, desk: Desk, calls: Mapping[str, Answer]) -> None:
+        self.desk = desk
+        self.calls = calls
+        self.callers: dict[CallerLine, None] = {}  # the oldest first
+
+    def buildProtocol(self, addr: object) -> CallerLine | None:
+        """A caller connects; None ends it at once."""
+        if len(self.callers) >= MOST_CALLERS:
+            self.desk.tally.add("door_full")
+            return None
+        return CallerLine(self)
+
+    def came(self, caller: CallerLine) -> None:
+        """Where callers crowd, who has stood longest goes."""
+        self.callers[caller] = None
+        oldest = next(iter(self.callers))
+        if len(self.callers) > CALLERS and caller.came_us - oldest.came_us > FRESH_US:
+            self.desk.tally.add("door_ended_for_room")
+            del self.callers[oldest]
+            if oldest.answered:
+                oldest.wire.abortConnection()
+            oldest.answer(["fail others wait"])
+
+    def call(self, line: bytes) -> list[str]:
+        """The lines of the answer to one call."""
+        self.desk.tally.add("door_calls")
+        answer = self.calls.get(line.removesuffix(b"\r").decode("ascii", "replace"))
+        if answer is None:
+            self.desk.tally.add("door_unknown")
+            return [f"fail the calls are {', '.join(self.calls)}"]
+        return answer()
--- /dev/null
+++ b/gradefront/ops/figures.py
@@ -0,0 +1,27 @@
+"""The figures in Prometheus' text form, rendered from the tally. No I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from gradefront.core.tally import Tally
+
+PREFIX = "svc_"
+CLASS = "group"  # the label that names a request class
+BY_CLASS = ("answered_total", "deferred_total", "errored_total")
+COUNTS = ("sends_total", "conf_loaded_total", "conf_invalid_total")
+
+
+def escaped(value: str) -> str:
+    """A label's value. Guards the form against names with quotes, backslashes or line ends."""
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+
+
+def lines(tally: Tally, classes: Iterable[str], levels: Mapping[str, int]) -> list[str]:
+    """One line a figure: counts by class and in all, from 0 on, and present levels. `classes` are all that
+    were ever told: a dropped one keeps its counts."""
+    told = list(dict.fromkeys(classes))
+    return [*(f'{PREFIX}{name}{{{CLASS}="{escaped(klass)}"}} {tally.of_class(name, klass)}'
+              for name in BY_CLASS for klass in told),
+            *(f"{PREFIX}{name} {tally.counts[name]}" for name in COUNTS),
+            *(f"{PREFIX}{name} {value}" for name, value in levels.items())]
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -24,6 +24,8 @@
 from .net.boxlist import BoxList, ListWatch
 from .net.front import PlatformFront
 from .net.reactor import Clock, Driver, Reactor
+from .ops.door import Answer, Door
+from .ops.figures import lines
 from .quic.switch import FILE
 from .quic.switch import load as load_quic
 
@@ -46,19 +48,41 @@
         self.quic: QuicFront | None = None
         self.driver = Driver(reactor, clock)
         self.desk = desk = Desk(Balancer(config.settings, config.seed), config.settings, clock,
-                                self.driver.poke, config.tells_delay)
+                                self.driver.poke, config.tells_delay, config.class_names)
         self.driver.desk = desk
         self.box_list = BoxList(config, desk)
         desk.watcher = self.list_watch = ListWatch(reactor, desk, self.box_list, config.discovery)
         desk.asker = LoadAsker(reactor, desk, self.box_list.address)
         self.box_list.take(config.known, whole=True)
         caller = PlatformCaller(reactor, self.box_list.address)
-        self.front = PlatformFront(config, desk, caller, lambda: self.box_list.heard)
+        self.front = PlatformFront(config, desk, caller)
         if quic:  # imported only where it is on: its libraries cost a start time and memory
             from .quic.front import QuicFront
             self.quic = QuicFront(config, quic, desk, reactor)
+        self.door = None
+        if config.admin:
+            try:
+                self.door = reactor.listenTCP(config.admin[1], Door(desk, self.calls()), 64, config.admin[0])
+            except CannotListenError as error:
+                raise ConfigError(f"LB_ADMIN: the operators' door: {error}") from None
         self.port = reactor.listenTCP(config.listen[1], self.front, 512, config.listen[0])
 
+    def calls(self) -> dict[str, Answer]:
+        """What the operators' door answers."""
+        desk = self.desk
+
+        def said(good: bool) -> list[str]:
+            return [f"{'ok' if good else 'fail'} {desk.duty.value}"]
+        return {"PING": lambda: said(desk.takes_clients), "INFO": lambda: ["ok", *self.figures(), "eof"],
+                "LAMEDUCK": lambda: said(desk.lame_duck()), "REJOIN": lambda: said(desk.rejoin())}
+
+    def figures(self) -> list[str]:
+        """The figures now, a line each."""
+        desk = self.desk
+        return lines(desk.tally, desk.class_names, {
+            "current": self.front.open, "cluster_size": len(desk.boxes),
+            "cluster_unhealthy": desk.decider.avoided(desk.clock())})
+
     def show(self) -> None:
         """The counters, as one log line."""
         levels = {"connections_now": self.front.open, "visits_now": len(self.desk.visits)}
@@ -73,7 +97,7 @@
             quic = load_quic(told, quic_file()) if self.quic else None
         except ConfigError as error:
             log.error("configuration not taken, the old one stays: %s", error)
-            self.desk.tally.add("reloads_refused")
+            self.desk.tally.add("conf_invalid_total")
             return
         old = self.config
         # LB_DISCOVERY tells the address of the start: once the file names another, the file goes before it.
@@ -86,7 +110,7 @@
         self.config = replace(old, discovery=where, filed_discovery=told.filed_discovery,
                               sockets=told.sockets)
         self.front.config = self.config
-        self.desk.tally.add("reloads")
+        self.desk.tally.add("conf_loaded_total")
         log.info("configuration taken; discovery at %s:%d", *where)
         if where != old.discovery:
             self.list_watch.go_to(where)
@@ -129,12 +153,14 @@
         return 2
     try:
         relay = Relay(config, quic, reactor)
-    except CannotListenError as error:
+    except (ConfigError, CannotListenError) as error:
         print(f"gradefront: {error}", file=sys.stderr)
         return 2
     log.info("settings: %s; message delays told: %s", config.settings, config.tells_delay)
     where = relay.port.getHost()
     log.info("relay %s listens on %s:%d", config.name, where.host, where.port)
+    if relay.door:
+        log.info("operators' door at %s:%d", relay.door.getHost().host, relay.door.getHost().port)
     for door in relay.quic.doors if relay.quic else ():
         log.info("quic front listens on %s:%d", *door.address)
     gc.collect()
--- a/lab/town.py
+++ b/lab/town.py
@@ -169,6 +169,23 @@
         self.process = process
         self.log: list[str] = []
         self.ports: list[int] = []
+        self.door = 0  # the operators' port, where there is one
+
+    async def call(self, call: str) -> list[str]:
+        """Call at the operators' door; the lines of the answer."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.door)
+        writer.write(call.encode() + b"\r\n")
+        try:
+            answer: bytes = await soon(reader.read())
+            return answer.decode().splitlines()
+        finally:
+            writer.close()
+
+    async def figures(self) -> dict[str, float]:
+        """The figures, as any reader of Prometheus' form takes them."""
+        first, *told, last = await self.call("INFO")
+        assert (first, last) == ("ok", "eof")
+        return {name: float(value) for name, value in (line.rsplit(" ", 1) for line in told)}
 
     async def line(self, pattern: str) -> re.Match[str]:
         """Read the log up to a line that matches."""
@@ -197,11 +214,13 @@
 
 @asynccontextmanager
 async def program(folder: Path, discovery: Discovery, told: dict[str, Any],
-                  quic: dict[str, Any] | None = None) -> AsyncIterator[Program]:
+                  quic: dict[str, Any] | None = None, admin: bool = False) -> AsyncIterator[Program]:
     """Start the program; its ports are the system's choice."""
     await discovery.open()
     config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
               "limits": {"sockets": 512}, "known": discovery.list(), "settings": told}
+    if admin:
+        config["admin"] = "127.0.0.1:0"
     (folder / "config.json").write_text(json.dumps(config))
     (folder / "quic.json").write_text(json.dumps(quic or {"on": False}))
     process = await asyncio.create_subprocess_exec(
@@ -213,6 +232,8 @@
     try:
         for _ in range(1 + len((quic or {}).get("listen", ()))):
             running.ports.append(int((await running.line(r"listens on \S+:(\d+)")).group(1)))
+        if admin:
+            running.door = int((await running.line(r"operators' door at \S+:(\d+)")).group(1))
         yield running
     finally:
         if process.returncode is None:
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -99,6 +99,11 @@
         self.handlers[type(event)](event)
         return self.actions
 
+    def avoided(self, now_us: int) -> int:
+        """How many listed servers get nothing new now, or only where no others are left."""
+        return sum(s.entry.state is not ServerState.READY or now_us < s.suspect_until
+                   for s in self.servers.values())
+
     # ---- the server list
 
     def _list(self, update: i.ListUpdate) -> None:
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -55,7 +55,7 @@
         self.broken = False  # the module raises
         self.attempts: list[Attempt] = []
         self.legs: list[Leg] = []
-        self.desk = Desk(self, settings, lambda: self.now, lambda: None)
+        self.desk = Desk(self, settings, lambda: self.now, lambda: None, class_names=("visit-checkin",))
         self.desk.listed(i.ListUpdate((i.ServerEntry("box-1"), i.ServerEntry("box-2"))))
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
@@ -65,6 +65,9 @@
         orders, self.orders = self.orders, []
         return orders
 
+    def avoided(self, now_us: int) -> int:
+        return 0
+
     def call(self, attempt: Attempt, parcel: object) -> Leg:
         self.attempts.append(attempt)
         self.legs.append(Leg())
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -65,7 +65,7 @@
     def __init__(self, sockets: int = 512) -> None:
         self.bench = Bench()
         config = replace(CONFIG, sockets=sockets)
-        self.front = PlatformFront(config, self.bench.desk, self.bench, lambda: True)
+        self.front = PlatformFront(config, self.bench.desk, self.bench)
         self.ids = count(1)
 
     def connect(self) -> Guest:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -64,3 +64,12 @@
     assert timers(0.8, 10_000) == 0
     assert timers(0.9, 2_000_000) > 0, "while the drop is fresh"
     assert timers(0.9, 7_000_000) == 0, "later only a report above what it can do"
+
+
+def test_draining_and_suspect_servers_count_as_avoided() -> None:
+    b = Balancer(i.Settings(classes=(CLASS,)), 1)
+    b.handle(0, i.ListUpdate((i.ServerEntry("s1"), i.ServerEntry("s2", i.ServerState.DRAINING), i.ServerEntry("s3"))))
+    b.handle(1, i.Request(7, 2_000_000))
+    assert b.avoided(2) == 1
+    b.handle(2, i.Outcome(7, 0, "s1", i.Result.CONNECT_FAILED))
+    assert b.avoided(3) == 2 and b.avoided(60_000_000) == 1
--- /dev/null
+++ b/tests/test_duty.py
@@ -0,0 +1,106 @@
+"""Whether the relay takes clients, and how it is emptied, against random steps."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gradefront.core.duty import Duty, Word, step
+from milletdeal import interface as i
+
+from .helper import Bench, Carer
+
+FOUR_S = 4_000_000
+
+
+def test_every_word_has_an_answer_in_every_state_and_leaving_has_no_way_back() -> None:
+    granted = {(duty, word) for duty in Duty for word in Word if step(duty, word) is not None}
+    assert all((duty, Word.LEAVE) in granted and (duty, Word.LAMEDUCK) in granted for duty in Duty)
+    assert {step(Duty.LEAVING, word) for word in Word} == {Duty.LEAVING, None}
+    assert step(Duty.LEAVING, Word.REJOIN) is None and step(Duty.LAME_DUCK, Word.READY) is None
+
+
+def test_a_drain_is_spread_over_its_time_and_answers_whoever_waits() -> None:
+    bench = Bench()
+    carers = [bench.standing()[1] for _ in range(30)]
+    _, waiting = bench.arrive(4_800_000)
+    assert bench.desk.lame_duck() and not bench.desk.takes_clients
+    told = []
+    for _ in range(40):
+        bench.wait(100_000)
+        told.append(sum("move" in c.told for c in carers))
+    assert told[3] == 0, "the front still sends carers for a moment"
+    assert all(b - a <= 3 for a, b in zip(told, told[1:], strict=False)), "no herd"
+    assert told[-1] == 30 and waiting.told == ["refuse"]
+    _, late, _ = bench.standing()
+    bench.wait(100_000)
+    assert late.told == ["seat", "move"], "who comes all the same is served, then moved"
+
+
+def test_after_the_end_of_a_drain_nobody_is_moved_on_its_account() -> None:
+    bench = Bench()
+    carers = [bench.standing()[1] for _ in range(10)]
+    bench.desk.lame_duck()
+    bench.wait(1_000_000)
+    assert bench.desk.rejoin() and bench.desk.takes_clients
+    moved = sum("move" in c.told for c in carers)
+    assert 0 < moved < 10
+    bench.wait(6_000_000)
+    assert sum("move" in c.told for c in carers) == moved
+    bench.desk.listed(i.ListUpdate(()))
+    assert not bench.desk.takes_clients, "no push box, no clients"
+
+
+class Duties(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.bench = Bench()
+        self.stood: list[tuple[int, Carer]] = []
+        self.lame_us = 0  # when the drain that is on began
+        self.left_us = 0
+        self.gone = False
+
+    @rule()
+    def lame_duck(self) -> None:
+        assert self.bench.desk.lame_duck()
+        if not self.left_us:
+            self.lame_us = self.lame_us or self.bench.now
+
+    @rule()
+    def rejoin(self) -> None:
+        assert self.bench.desk.rejoin() == (not self.left_us)
+        if not self.left_us:
+            self.lame_us = 0
+
+    @rule()
+    def leave(self) -> None:
+        self.left_us = self.left_us or self.bench.now
+
+        def done() -> None:
+            assert not self.gone, "ended once"
+            self.gone = True
+        self.bench.desk.leave(done)
+
+    @rule()
+    def a_visit_stands(self) -> None:
+        if not self.gone:
+            self.stood.append((self.bench.now, self.bench.standing()[1]))
+
+    @rule(us=st.integers(4_000, 1_500_000))
+    def time_passes(self, us: int) -> None:
+        self.bench.wait(us)
+
+    @invariant()
+    def yes_only_in_service_and_nobody_is_held_beyond_the_drain(self) -> None:
+        desk = self.bench.desk
+        assert desk.takes_clients == (not self.lame_us and not self.left_us)
+        held = [came for came, carer in self.stood if "move" not in carer.told]
+        if self.lame_us and not self.gone and self.bench.now - self.lame_us >= FOUR_S:
+            assert all(self.bench.now - came < 200_000 for came in held)
+        if self.left_us and self.bench.now - self.left_us >= desk.kill_us:
+            assert self.gone and not held
+
+
+Duties.TestCase.settings = settings(max_examples=80, stateful_step_count=25)
+TestDuties = Duties.TestCase
--- a/tests/test_quic_recovery.py
+++ b/tests/test_quic_recovery.py
@@ -160,7 +160,7 @@
                 stop = True
                 await asyncio.gather(*talking)
                 counts = await relay.counters()
-                assert lost == 0 and asked > 200 and counts["reloads"] == 2 and counts["visits_now"] == 40
+                assert lost == 0 and asked > 200 and counts["conf_loaded_total"] == 2 and counts["visits_now"] == 40
                 # Ids of the key that was taken away lead nowhere.
                 phones[0].an_id = OLD.make(phones[0].box.server_ids[1])
                 assert not await phones[0].ask(0.3)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -32,12 +32,12 @@
 
 @asynccontextmanager
 async def town(folder: Path, answers: list[str | None], told: dict[str, Any] | None = None,
-               wait: bool = True) -> AsyncIterator[Town]:
+               wait: bool = True, admin: bool = False) -> AsyncIterator[Town]:
     boxes = [PushBox(lambda line, answer=answer: answer) for answer in answers]  # type: ignore[misc]
     discovery = Discovery()
     for n, box in enumerate(boxes):
         discovery.add(f"box-{n}", await box.open())
-    async with program(folder, discovery, told or settings()) as relay:
+    async with program(folder, discovery, told or settings(), admin=admin) as relay:
         if wait:
             await soon(discovery.asked.wait())
         yield Town(boxes, discovery, relay)
@@ -254,7 +254,8 @@
                 assert await fresh.line() == "UP r-1"
             assert await device.ask("still") == "re:still"
             counts = await relay.counters()
-            assert counts["reloads"] == 2 and counts["reloads_refused"] == 4 and "list_errors" not in counts
+            assert counts["conf_loaded_total"] == 2 and counts["conf_invalid_total"] == 4
+            assert "list_errors" not in counts
             replace_config(tmp_path, limits={"sockets": 300})
             relay.process.send_signal(signal.SIGHUP)
             assert await relay.stop() == 0, "a planned stop right after"
--- a/tests/test_visit_model.py
+++ b/tests/test_visit_model.py
@@ -35,6 +35,7 @@
         super().__init__()
         self.bench = Bench()
         self.models: list[Model] = []
+        self.sent = 0  # attempts whose last byte was written
 
     def pick(self, n: int) -> Model | None:
         return self.models[n % len(self.models)] if self.models else None
@@ -74,6 +75,7 @@
     def leg_comes_further(self, n: int, reach: Reach) -> None:
         model = self.pick(n)
         if model and (attempt := self.out(model)):
+            self.sent += attempt.reach < reach is Reach.SENT
             attempt.came(reach)
 
     @rule(n=st.integers(0))
@@ -114,6 +116,14 @@
                 model.stage = model.visit.stage
                 assert model.stage in (Stage.WAITING, Stage.REACHING, Stage.ENDED)
 
+    @invariant()
+    def the_figures_are_what_the_carers_heard(self) -> None:
+        told = [t for model in self.models for t in model.carer.told]
+        tally = self.bench.desk.tally
+        for name, answer in (("answered_total", "seat"), ("deferred_total", "refuse"), ("errored_total", "fail")):
+            assert tally.of_class(name, "visit-checkin") == told.count(answer)
+        assert tally.counts["sends_total"] == self.sent
+
     @invariant()
     def as_the_model_says(self) -> None:
         self.bench.desk.turn()
