Take new settings under way; share the clients' listener with the process that replaces this one

Cause of the two zeros: serve.py kept all settings of the start ("taken at the next start only: settings, class_names"), so new classes were bad clients; a second process ended with "address in use" (listenTCP) since the listener that the platform holds was not looked at.

Change: retuning by numbered classes, files checked whole against the one before; LB_SOCKET_FD adopted and never shut down; yes on fresh news of discovery; SIGTERM ends reading the listener at once. Visits hold the settings they came under.

--- a/gradefront/config.py
+++ b/gradefront/config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import math
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,6 +16,10 @@
 Address = tuple[str, int]
 
 
+CLASS_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+MAY_LACK = ("aimStretch",)  # keys that the platform leaves out where they say nothing
+
+
 class ConfigError(Exception):
     """A setting that is missing or makes no sense; its text names it."""
 
@@ -36,9 +42,17 @@
     tells_delay: bool
     known: dict[str, Any] = field(default_factory=dict)
     filed_discovery: Address | None = None  # what the file itself says, whatever the variable says
+    numbers: dict[str, int] = field(default_factory=dict)  # of the classes in force, by name
+    told: dict[str, Any] = field(default_factory=dict, repr=False)  # the file's object, but for the list
+    socket_fd: int | None = None  # a listener that the platform holds and every process of this relay inherits
     admin: Address | None = None  # the operators' door; none where neither file nor variable tells one
 
 
+    def __post_init__(self) -> None:
+        if not self.numbers:
+            object.__setattr__(self, "numbers", {name: n for n, name in enumerate(self.class_names)})
+
+
 def address(text: object, what: str) -> Address:
     """`HOST:PORT`, with an IPv6 host in brackets."""
     host, colon, port = str(text).rpartition(":")
@@ -74,6 +88,7 @@
 
 def _parse(told: dict[str, Any], environment: Mapping[str, str]) -> Config:
     info = told["settings"]
+    _check(info)
     try:
         settings, report_names = wire.settings(info)
     except (wire.WireError, ValueError, TypeError) as error:
@@ -87,6 +102,9 @@
     known = told.get("known")
     filed = address(told["discovery"], "discovery") if told.get("discovery") else None
     admin = environment.get("LB_ADMIN") or told.get("admin")
+    fd = environment.get("LB_SOCKET_FD")
+    if fd and not (fd.isascii() and fd.isdigit()):
+        raise ConfigError(f"LB_SOCKET_FD: '{fd}' is not the number of a descriptor")
     sockets = int(limits.get("sockets", 1024))
     if sockets < 1:
         raise ConfigError(f"limits.sockets: '{sockets}' is not above 0")
@@ -100,9 +118,56 @@
         tenants=names("parties"), report_names=report_names,
         tells_delay=bool(family.get("tellsDelay", False)),
         known=known if isinstance(known, dict) else {}, filed_discovery=filed,
+        socket_fd=int(fd) if fd else None, told={**told, "known": {}},
         admin=address(admin, "LB_ADMIN") if admin else None)
 
 
+def _check(info: dict[str, Any]) -> None:
+    """What no relay may take: names that lines can't carry, times and limits that are no numbers above 0."""
+    seen = set[str]()
+    for n, grade in enumerate(info.get("grades") or ()):
+        where = f"settings.grades[{n}]"
+        name = grade.get("name")
+        if not isinstance(name, str) or not CLASS_NAME.fullmatch(name):
+            raise ConfigError(f"{where}.name: {name!r} is no name of a class")
+        if name in seen:
+            raise ConfigError(f"{where}.name: '{name}' stands twice")
+        seen.add(name)
+        for key in ("aimUs", "deadlineUs"):
+            _above_0(grade.get(key), f"{where}.{key}")
+    allow = info.get("permissions") or {}
+    for key in ("maxAttempts", "connectTimeoutUs"):
+        if key in allow:
+            _above_0(allow[key], f"settings.permissions.{key}", whole=key == "maxAttempts")
+
+
+def _above_0(value: object, where: str, whole: bool = False) -> None:
+    number = isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value)
+    if not number or value < 1 or (whole and value != int(value)):  # type: ignore[operator, call-overload]
+        raise ConfigError(f"{where}: {value!r} is not a number above 0")
+
+
+def lacks(told: Any, before: Any, where: str = "") -> str:
+    """The path of a key that the object before had and this one lacks, or "". Guards against taking a file that
+    was cut short or written by half: what it leaves out would silently be a default."""
+    for key, value in before.items():
+        path = f"{where}.{key}".lstrip(".")
+        if key in MAY_LACK:
+            continue
+        if key not in told:
+            return path
+        found = ""
+        if isinstance(value, dict):
+            found = lacks(told[key], value, path) if isinstance(told[key], dict) else path
+        elif key == "grades" and isinstance(told[key], list):
+            common = set.intersection(*(set(grade) for grade in value)) if value else set()
+            for n, grade in enumerate(told[key]):
+                found = found or lacks(grade, dict.fromkeys(sorted(common)), f"{path}[{n}]")
+        if found:
+            return found
+    return ""
+
+
 def _seed(value: object) -> int:
     if isinstance(value, int):
         return value
--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -7,11 +7,13 @@
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from itertools import count
 
 from milletdeal import interface as i
 
+from .classes import ClassBook
 from .duty import Duty, Word, step
 from .ports import BoxAsker, BoxCaller, Call, CarerSide, Decider, Ending, ListWatcher
 from .pulse import PULSE_US, Pulse
@@ -38,6 +40,7 @@
 LEAVE_BY_US = 600_000  # the last carer is told by then
 GONE_BY_US = 450_000  # the process ends by then
 LEAVE_STEP_US = 50_000
+NEWS_BY_US = 3_500_000  # a process that replaces another waits so long for the box list, of 6 s from its start
 FRONT_US = 450_000  # after SIGTERM: the front still sends carers here for 0.2 to 0.4 s
 LAME_BY_US = 3_200_000  # after the call to empty the relay: the last carer is told by then, of 4 s that there are,
 LAME_ANSWER_US = 3_600_000  # and whoever still waits for a push box is answered
@@ -49,8 +52,10 @@
     def __init__(self, decider: Decider, settings: i.Settings, clock: Callable[[], int],
                  poke: Callable[[], None], tells_delay: bool = True, class_names: tuple[str, ...] = ()) -> None:
         self.decider = decider
+        # Classes without a name are named by their place.
+        self.book = ClassBook().take(class_names or tuple(str(n) for n in range(len(settings.classes))),
+                                     settings.classes, ())
         self.settings = settings
-        self.class_names = class_names
         self.clock = clock
         self.poke = poke  # asks the platform for a turn soon
         self.tally = Tally()
@@ -62,15 +67,37 @@
         self.asker: BoxAsker | None = None
         self.watcher: ListWatcher | None = None
         self.duty = Duty.STARTING
+        self.awaits_news = False  # says yes only once discovery has spoken, not on a list from before
+        self.opens: Callable[[], None] | None = None  # done when it first takes clients
         self.emptying: object = None  # of the drain that is on: a step of an earlier one does nothing
-        aims = [c.message_aim_us for c in settings.classes if c.message_aim_us]
-        self.pulse = Pulse(min(aims)) if aims and tells_delay else None
-        self.kill_us = min(LONGEST_US, max(c.deadline_us for c in settings.classes)) + KILL_US
+        self.kill_us = LONGEST_US + KILL_US
+        self._heed(settings.classes, tells_delay)
         self.heard: dict[str, int] = {}  # when each push box last answered a message
         self.looked_us = clock()
         self.after(PULSE_US, self._tell_delays)
         self.after(LOOK_US, self._look)
 
+    def _heed(self, classes: tuple[i.RequestClass, ...], tells_delay: bool) -> None:
+        aims = [c.message_aim_us for c in classes if c.message_aim_us]
+        self.pulse = Pulse(min(aims)) if aims and tells_delay else None
+        # SIGKILL may be counted by the settings of any time: the soonest holds.
+        self.kill_us = min(self.kill_us, max(c.deadline_us for c in classes) + KILL_US)
+
+    # ---- settings
+
+    def retuned(self, settings: i.Settings, class_names: tuple[str, ...]) -> tuple[ClassBook, i.Settings]:
+        """What `retune` would take: the book of classes, and the settings with all that visits may hold. Changes
+        nothing. Raises NoRoom."""
+        held = {visit.call.klass for visit in self.visits.values()}
+        book = self.book.take(class_names, settings.classes, held)
+        return book, replace(settings, classes=book.rules)
+
+    def retune(self, book: ClassBook, settings: i.Settings, tells_delay: bool) -> None:
+        """Take them, for visits that come from now on."""
+        self.book, self.settings = book, settings
+        self._heed(tuple(book.rules[n] for n in book.current), tells_delay)
+        self.put(i.NewSettings(settings))
+
     # ---- time and turns
 
     def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
@@ -156,7 +183,17 @@
         self._say_ready()
 
     def _say_ready(self) -> None:
-        self.hear(Word.READY if self.boxes else Word.UNREADY)
+        self.hear(Word.READY if self.boxes and not self.awaits_news else Word.UNREADY)
+
+    def await_news(self) -> None:
+        """Another process still serves: take clients only on a fresh list, or once there is no more time."""
+        self.awaits_news = True
+        self.after(NEWS_BY_US, self.has_news)
+
+    def has_news(self) -> None:
+        """Discovery has told what there is."""
+        self.awaits_news = False
+        self._say_ready()
 
     def list_lost(self, why: str) -> None:
         """A call for the list failed, or the watch on it ended."""
@@ -197,7 +234,7 @@
     def _new(self, call: Call, carer: CarerSide, caller: BoxCaller, patience_us: int,
              pinned: str = "") -> Visit:
         now = self.clock()
-        visit = Visit(next(self.numbers), call, carer, caller, now, now + patience_us, pinned)
+        visit = Visit(next(self.numbers), call, carer, caller, now, now + patience_us, self.settings, pinned)
         self.visits[visit.number] = visit
         return visit
 
@@ -230,7 +267,7 @@
 
     def count(self, name: str, klass: int) -> None:
         """Count an answer for its class, where it is given."""
-        self.tally.add_of_class(name, self.class_names[klass] if klass < len(self.class_names) else str(klass))
+        self.tally.add_of_class(name, self.book.names[klass])
 
     def turn_away(self, visit: Visit) -> None:
         """The carer's side broke its protocol before the visit stood: it gets its answer now."""
@@ -274,7 +311,7 @@
 
     def _start(self, start: i.Start) -> None:
         visit = self.visits.get(start.request)
-        if visit is None or visit.stage is not Stage.WAITING or visit.attempts >= self.settings.max_attempts:
+        if visit is None or visit.stage is not Stage.WAITING or visit.attempts >= visit.settings.max_attempts:
             # Guards against a send after the end, a second copy, and one attempt too many.
             final = visit is None or visit.stage is Stage.STANDING
             self.put(i.Outcome(start.request, visit.attempts if visit else 0, start.server, i.Result.MOOT,
@@ -289,7 +326,7 @@
         self.tally.add("attempts")
         connect_by = until_us
         if not visit.pinned:
-            connect_by = min(until_us, attempt.began_us + self.settings.connect_timeout_us)
+            connect_by = min(until_us, attempt.began_us + visit.settings.connect_timeout_us)
         attempt.timer = self.wheel.set(connect_by, partial(attempt.ends, Cause.SILENT))
         attempt.leg = visit.caller.call(attempt, visit.call.parcel)
         if attempt.over:  # it ended at once, before its leg was known here
@@ -344,7 +381,7 @@
         """A visit from before the start may go to its own push box only, up to the limit."""
         visit.step(Stage.WAITING)
         visit.attempt = None
-        if visit.attempts >= min(BROUGHT_TRIES, self.settings.max_attempts):
+        if visit.attempts >= min(BROUGHT_TRIES, visit.settings.max_attempts):
             log.warning("visit %d could not go on at push box %s: %s", visit.number, visit.pinned, shortfall)
             self._answer(visit, None)
             return
@@ -431,6 +468,9 @@
         if to is not self.duty:
             log.info("%s, was %s", to.value, self.duty.value)
         self.duty = to
+        if self.takes_clients and self.opens:
+            opens, self.opens = self.opens, None
+            opens()
         return True
 
     def lame_duck(self) -> bool:
@@ -454,8 +494,9 @@
         self._say_ready()
         return True
 
-    def leave(self, done: Callable[[], None]) -> None:
-        """The relay is to stop: answer on, tell what stands to move, spread over the time there is."""
+    def leave(self, done: Callable[[], None], replaced: bool = False) -> None:
+        """The relay is to stop: answer on, tell what stands to move, spread over the time there is. `replaced`: a new
+        process takes the clients in meanwhile, so that there is no reason to hold them back."""
         if self.duty is Duty.LEAVING:
             return
         lame = self.duty is Duty.LAME_DUCK
@@ -464,7 +505,8 @@
         if not lame:  # else the drain that is on goes on; it is as fast
             token = self.emptying = object()
             by_us = self.clock() + self.kill_us - LEAVE_BY_US
-            self.after(max(FRONT_US, self.kill_us - LEAVE_AFTER_US), partial(self._empty_some, token, by_us))
+            first_us = LEAVE_STEP_US if replaced else max(FRONT_US, self.kill_us - LEAVE_AFTER_US)
+            self.after(first_us, partial(self._empty_some, token, by_us))
         self.after(self.kill_us - GONE_BY_US, partial(self._gone, done))
 
     def _empty_some(self, token: object, by_us: int) -> None:
@@ -485,7 +527,8 @@
             return
         for visit in list(self.visits.values()):
             if visit.stage is not Stage.STANDING:
-                self._answer(visit, i.Refuse(visit.number))
+                # Guards against doubled effects: a refusal is an invitation to come again.
+                self._answer(visit, i.Refuse(visit.number) if visit.may_be_refused else None)
 
     def _gone(self, done: Callable[[], None]) -> None:
         """The last moment: whoever still waits gets the answer that this relay won't give later."""
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -6,7 +6,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
-from milletdeal.interface import LoadReport
+from milletdeal.interface import LoadReport, Repeat, Settings
 
 from .ports import BoxCaller, BoxLeg, Call, CarerSide, Ending
 from .shortfall import Cause, Reach, Shortfall
@@ -42,11 +42,12 @@
     """One item that a carer's device brought: its number, its deadline, its one answer."""
 
     __slots__ = ("number", "call", "carer", "caller", "deadline_us", "stage", "attempts", "attempt",
-                 "pinned", "watch", "came_us")
+                 "pinned", "watch", "came_us", "settings")
 
     def __init__(self, number: int, call: Call, carer: CarerSide, caller: BoxCaller, now_us: int,
-                 deadline_us: int, pinned: str = "") -> None:
+                 deadline_us: int, settings: Settings, pinned: str = "") -> None:
         self.number = number
+        self.settings = settings  # under which it came
         self.call = call
         self.carer = carer
         self.caller = caller
@@ -58,6 +59,11 @@
         self.pinned = pinned  # the one push box that a visit from before the start may go to
         self.watch: Timer | None = None
 
+    @property
+    def may_be_refused(self) -> bool:
+        """Whether to come again is harmless: nothing was sent, or its effects may be had twice."""
+        return not self.attempts or self.settings.classes[self.call.klass].repeat is Repeat.SAFE
+
     def step(self, to: Stage) -> None:
         """Take a legal step, or raise."""
         if to not in STEPS[self.stage]:
--- a/gradefront/net/boxleg.py
+++ b/gradefront/net/boxleg.py
@@ -83,7 +83,7 @@
         self.to_carer: Callable[[bytes], None] | None = None
         self.cause = Cause.BROKEN
         self.gone = False
-        self.reports = attempt.desk.settings.reports is Reports.OUTCOMES
+        self.reports = attempt.visit.settings.reports is Reports.OUTCOMES
 
     # ---- as Twisted's factory
 
--- a/gradefront/net/front.py
+++ b/gradefront/net/front.py
@@ -85,6 +85,8 @@
             call, box = read_first(line, front.config)
             front.new_id(read_id(line))
         except BadLine as error:
+            if error.klass in front.desk.book.names:  # it was in force before
+                front.desk.tally.add_of_class("errored_total", error.klass)
             front.bad(str(error))
             self._last(b"ERR")
             return
--- a/gradefront/net/lines.py
+++ b/gradefront/net/lines.py
@@ -24,6 +24,10 @@
 class BadLine(Exception):
     """A first line that no carer's device sends."""
 
+    def __init__(self, why: str, klass: str = "") -> None:
+        super().__init__(why)
+        self.klass = klass  # the class that it names and that is not in force
+
 
 @dataclass(slots=True, frozen=True)
 class FirstLine:
@@ -56,11 +60,11 @@
     needed = ("c", "d", "g") if config.settings.groups else ("c", "d")
     if missing := [name for name in needed if name not in named]:
         raise BadLine(f"no {missing[0]}")
-    if named["c"] not in config.class_names:
-        raise BadLine(f"class {named['c']!r}")
+    klass = config.numbers.get(named["c"])
+    if klass is None:
+        raise BadLine(f"class {named['c']!r}", named["c"])
     if int(named["d"]) > MOST_MS:
         raise BadLine(f"d={named['d']}")
-    klass = config.class_names.index(named["c"])
     tenant = config.tenants.index(named["t"]) if named.get("t") in config.tenants else 0
     call = Call(int(named["d"]) * 1000, _split(line), klass, tenant, first[2].decode("ascii"),
                 named.get("g", ""), float(named.get("h", 0)), "again" in named, "r" in named)
--- a/gradefront/net/reactor.py
+++ b/gradefront/net/reactor.py
@@ -28,6 +28,9 @@
     def listenTCP(self, port: int, factory: Any, backlog: int = 50, interface: str = "") -> Any:
         """Listen."""
 
+    def adoptStreamPort(self, fileDescriptor: int, addressFamily: int, factory: Any) -> Any:
+        """Listen on a descriptor that listens already; it is duplicated, and never shut down."""
+
     def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8192) -> Any:
         """Listen for datagrams."""
 
--- a/gradefront/quic/config.py
+++ b/gradefront/quic/config.py
@@ -98,9 +98,9 @@
 
 
 def _class(name: str, config: Config, where: str) -> int:
-    if name not in config.class_names:
+    if name not in config.numbers:
         raise ValueError(f"{where}: no class is named '{name}'")
-    return config.class_names.index(name)
+    return config.numbers[name]
 
 
 def _forms(file: Any, folder: Path) -> tuple[IdForm, ...]:
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -6,18 +6,20 @@
 import logging
 import os
 import signal
+import socket
 import sys
 from collections.abc import Callable
-from dataclasses import fields, replace
+from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from twisted.internet import reactor as twisted_reactor
 from twisted.internet.error import CannotListenError
 
 from milletdeal import Balancer
 
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError, lacks, load
+from .core.classes import NoRoom
 from .core.desk import Desk
 from .net.asker import LoadAsker
 from .net.boxleg import PlatformCaller
@@ -35,7 +37,8 @@
 
 log = logging.getLogger("gradefront")
 
-RELOADED = ("discovery", "filed_discovery", "sockets", "seed", "known")  # all else waits for the next start
+EMPTY_LOOK_US = 100_000
+AT_START = ("name", "listen", "admin")  # a change waits for the next start
 
 
 class Relay:
@@ -46,6 +49,7 @@
         self.config = config
         self.reactor = reactor
         self.quic: QuicFront | None = None
+        self.stopping = False
         self.driver = Driver(reactor, clock)
         self.desk = desk = Desk(Balancer(config.settings, config.seed), config.settings, clock,
                                 self.driver.poke, config.tells_delay, config.class_names)
@@ -53,6 +57,10 @@
         self.box_list = BoxList(config, desk)
         desk.watcher = self.list_watch = ListWatch(reactor, desk, self.box_list, config.discovery)
         desk.asker = LoadAsker(reactor, desk, self.box_list.address)
+        if config.socket_fd is not None:
+            self.listener = inherited(config.socket_fd)
+            desk.opens = self._adopt
+            desk.await_news()
         self.box_list.take(config.known, whole=True)
         caller = PlatformCaller(reactor, self.box_list.address)
         self.front = PlatformFront(config, desk, caller)
@@ -65,7 +73,16 @@
                 self.door = reactor.listenTCP(config.admin[1], Door(desk, self.calls()), 64, config.admin[0])
             except CannotListenError as error:
                 raise ConfigError(f"LB_ADMIN: the operators' door: {error}") from None
-        self.port = reactor.listenTCP(config.listen[1], self.front, 512, config.listen[0])
+        self.port: Any = None
+        if config.socket_fd is None:
+            self.port = reactor.listenTCP(config.listen[1], self.front, 512, config.listen[0])
+        else:
+            self.list_watch.watch()  # at once: the module's spread is against a whole fleet that starts
+
+    def _adopt(self) -> None:
+        """Take clients from the listener that the platform holds, beside the process that is there before."""
+        log.info("relay %s takes clients from descriptor %d", self.config.name, self.listener.fileno())
+        self.port = self.reactor.adoptStreamPort(self.listener.fileno(), socket.AF_INET, self.front)
 
     def calls(self) -> dict[str, Answer]:
         """What the operators' door answers."""
@@ -79,7 +96,7 @@
     def figures(self) -> list[str]:
         """The figures now, a line each."""
         desk = self.desk
-        return lines(desk.tally, desk.class_names, {
+        return lines(desk.tally, desk.book.names, {
             "current": self.front.open, "cluster_size": len(desk.boxes),
             "cluster_unhealthy": desk.decider.avoided(desk.clock())})
 
@@ -92,39 +109,75 @@
 
     def reload(self) -> None:
         """The file of the configuration was replaced: taken whole or not at all; what stands goes on."""
+        old = self.config
         try:
             told = load(os.environ)
-            quic = load_quic(told, quic_file()) if self.quic else None
-        except ConfigError as error:
+            if missing := lacks(told.told, old.told):
+                raise ConfigError(f"{missing}: missing")
+            book, settings = self.desk.retuned(told.settings, told.class_names)
+            # LB_DISCOVERY tells the address of the start: once the file names another, the file goes before it.
+            moved = told.filed_discovery is not None and told.filed_discovery != old.filed_discovery
+            where = told.filed_discovery if moved and told.filed_discovery else old.discovery
+            config = replace(told, settings=settings, numbers=book.numbers(), discovery=where, seed=old.seed,
+                             **{name: getattr(old, name) for name in AT_START})
+            quic = load_quic(config, quic_file()) if self.quic else None
+        except (ConfigError, NoRoom) as error:
             log.error("configuration not taken, the old one stays: %s", error)
             self.desk.tally.add("conf_invalid_total")
             return
-        old = self.config
-        # LB_DISCOVERY tells the address of the start: once the file names another, the file goes before it.
-        moved = told.filed_discovery is not None and told.filed_discovery != old.filed_discovery
-        where = told.filed_discovery if moved and told.filed_discovery else old.discovery
-        later = [f.name for f in fields(told)
-                 if f.name not in RELOADED and getattr(told, f.name) != getattr(old, f.name)]
+        later = [name for name in AT_START if getattr(told, name) != getattr(old, name)]
         if later:
             log.warning("taken at the next start only: %s", ", ".join(later))
-        self.config = replace(old, discovery=where, filed_discovery=told.filed_discovery,
-                              sockets=told.sockets)
-        self.front.config = self.config
+        self.config = self.front.config = self.box_list.config = config
+        if (book, settings) != (self.desk.book, self.desk.settings):
+            self.desk.retune(book, settings, config.tells_delay)
+            log.info("settings: classes %s, %d attempts", ", ".join(config.class_names), settings.max_attempts)
         self.desk.tally.add("conf_loaded_total")
         log.info("configuration taken; discovery at %s:%d", *where)
         if where != old.discovery:
             self.list_watch.go_to(where)
         if self.quic and quic:
+            self.quic.config = config
             self.quic.configure(quic)
 
     def leave(self) -> None:
         """A planned restart."""
-        self.desk.leave(self._stop)
+        if self.config.socket_fd is None:
+            self.desk.leave(self._stop)
+            return
+        if self.port:
+            self.port.stopListening()  # whoever waits in the listener's queue is the new process's
+        self.desk.leave(self._stop, replaced=True)
+        self._stop_when_empty()
+
+    def _stop_when_empty(self) -> None:
+        """Nobody comes here any more: what is left of the time, memory and descriptors is the new process's."""
+        if self.front.open or self.desk.visits:
+            self.desk.after(EMPTY_LOOK_US, self._stop_when_empty)
+        else:
+            self._stop()
 
     def _stop(self) -> None:
+        if self.stopping:
+            return
+        self.stopping = True
         self.reactor.callLater(0.15, self.reactor.stop)  # time for the last answers to leave
 
 
+def inherited(fd: int) -> socket.socket:
+    """The listener that the platform holds, under a descriptor of this process. Raises ConfigError."""
+    try:
+        listener = socket.socket(fileno=os.dup(fd))
+        if listener.family != socket.AF_INET or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            listener.close()
+            raise OSError("not a TCP socket that listens")
+    except OSError as error:
+        raise ConfigError(f"LB_SOCKET_FD: {fd}: {error.strerror or error}") from None
+    # All holders of a listener share this flag. Guards against waiting for a client that another one took.
+    listener.setblocking(False)
+    return listener
+
+
 def quic_file() -> Path:
     """The second front's file."""
     return Path(os.environ.get("GRADEFRONT_QUIC", FILE))
@@ -157,8 +210,9 @@
         print(f"gradefront: {error}", file=sys.stderr)
         return 2
     log.info("settings: %s; message delays told: %s", config.settings, config.tells_delay)
-    where = relay.port.getHost()
-    log.info("relay %s listens on %s:%d", config.name, where.host, where.port)
+    if relay.port:
+        where = relay.port.getHost()
+        log.info("relay %s listens on %s:%d", config.name, where.host, where.port)
     if relay.door:
         log.info("operators' door at %s:%d", relay.door.getHost().host, relay.door.getHost().port)
     for door in relay.quic.doors if relay.quic else ():
--- a/lab/town.py
+++ b/lab/town.py
@@ -6,6 +6,7 @@
 import json
 import re
 import signal
+import socket
 import sys
 import time
 from collections.abc import AsyncIterator, Callable
@@ -50,6 +51,10 @@
         self.server = await asyncio.start_server(self._watch, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    @property
+    def serves(self) -> bool:
+        return hasattr(self, "server") and self.server.is_serving()
+
     def add(self, box: str, port: int) -> None:
         self.members[box] = {"id": box, "host_port": f"127.0.0.1:{port}", "locality": "kgn-1",
                              "flavor": "quad-fast", "cell": 0, "phase": "SERVING", "size": 1.0,
@@ -214,9 +219,11 @@
 
 @asynccontextmanager
 async def program(folder: Path, discovery: Discovery, told: dict[str, Any],
-                  quic: dict[str, Any] | None = None, admin: bool = False) -> AsyncIterator[Program]:
-    """Start the program; its ports are the system's choice."""
-    await discovery.open()
+                  quic: dict[str, Any] | None = None, admin: bool = False,
+                  listener: socket.socket | None = None) -> AsyncIterator[Program]:
+    """Start the program; its ports are the system's choice. With a listener it inherits that."""
+    if not discovery.serves:  # another process may be watching it already
+        await discovery.open()
     config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
               "limits": {"sockets": 512}, "known": discovery.list(), "settings": told}
     if admin:
@@ -226,11 +233,15 @@
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "gradefront", stderr=asyncio.subprocess.PIPE,
         cwd=Path(__file__).resolve().parent.parent,
-        env={"LB_CONFIG": str(folder / "config.json"), "GRADEFRONT_QUIC": str(folder / "quic.json"),
+        pass_fds=[listener.fileno()] if listener else [],
+        env={**({"LB_SOCKET_FD": str(listener.fileno())} if listener else {}),
+             "LB_CONFIG": str(folder / "config.json"), "GRADEFRONT_QUIC": str(folder / "quic.json"),
              "PATH": "/usr/bin:/bin"})
     running = Program(process)
     try:
-        for _ in range(1 + len((quic or {}).get("listen", ()))):
+        if listener:
+            running.ports.append(listener.getsockname()[1])
+        for _ in range(0 if listener else 1 + len((quic or {}).get("listen", ()))):
             running.ports.append(int((await running.line(r"listens on \S+:(\d+)")).group(1)))
         if admin:
             running.door = int((await running.line(r"operators' door at \S+:(\d+)")).group(1))
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -87,7 +87,8 @@
         self.mean_work = 0.0  # mean work of connections seen, us a second
         self.logged: dict[str, int] = {}
         self.handlers: dict[type, Callable[[Any], object]] = {
-            i.Request: self._request, i.TimerFired: lambda e: self.timers.pop(e.timer, int)(),
+            i.NewSettings: self._retune, i.Request: self._request,
+            i.TimerFired: lambda e: self.timers.pop(e.timer, int)(),
             i.Established: self._established, i.Outcome: self._outcome, i.ProbeResult: self._probed,
             i.ClientGone: lambda e: self.jobs.pop(e.request, None),
             i.LoadNote: self._load_note, i.DelayNote: self._late, i.ListUpdate: self._list,
@@ -99,6 +100,9 @@
         self.handlers[type(event)](event)
         return self.actions
 
+    def _retune(self, event: i.NewSettings) -> None:
+        self.s, self.ring_stale = event.settings, True
+
     def avoided(self, now_us: int) -> int:
         """How many listed servers get nothing new now, or only where no others are left."""
         return sum(s.entry.state is not ServerState.READY or now_us < s.suspect_until
@@ -138,7 +142,8 @@
     def _request(self, request: i.Request) -> None:
         self._learn_work(request.load_hint)
         klass = self.s.classes[request.klass]
-        job = Job(request, klass, self.now + min(request.expires_us, klass.deadline_us))
+        job = Job(request, klass, self.now + min(request.expires_us, klass.deadline_us),
+                  min(ATTEMPTS, self.s.max_attempts))
         self.jobs[request.request] = job
         self._consider(job)
 
@@ -211,8 +216,7 @@
         """Wait the next full-jitter delay and consider other servers, or give up at once."""
         job.rounds += 1
         wait = self._jitter(job.klass.aim_us * BASE_PART, job.klass.deadline_us * CAP_PART, job.rounds - 1)
-        enough = job.rounds >= min(ATTEMPTS, self.s.max_attempts)
-        if enough or self.now + wait + 2 * self.s.resolution_us >= job.deadline:
+        if job.rounds >= job.most or self.now + wait + 2 * self.s.resolution_us >= job.deadline:
             self._answer(job)
         else:
             job.turn += 1
--- a/milletdeal/interface.py
+++ b/milletdeal/interface.py
@@ -271,8 +271,16 @@
     timer: int
 
 
+@dataclass(slots=True, frozen=True)
+class NewSettings:
+    """Other settings from now on. What is open keeps the rules under which it came; the numbers of classes that it
+    may hold mean in the new settings what they meant in the old."""
+
+    settings: Settings
+
+
 Event = (
-    ListUpdate | ListError | Request | OpenConnection | Established | LoadNote | DelayNote
+    NewSettings | ListUpdate | ListError | Request | OpenConnection | Established | LoadNote | DelayNote
     | Outcome | ClientGone | ProbeResult | TimerFired
 )
 
--- a/milletdeal/records.py
+++ b/milletdeal/records.py
@@ -37,6 +37,7 @@
     request: Request
     klass: RequestClass
     deadline: int
+    most: int  # rounds: by the settings under which it came
     rounds: int = 0  # failed placements and vain looks so far
     tried: list[str] = field(default_factory=list)
     ran: list[tuple[ServerEntry, int]] = field(default_factory=list)  # may have run; and when sent
--- /dev/null
+++ b/tests/test_retune.py
@@ -0,0 +1,153 @@
+"""Other settings under way: what is taken, what is turned down, and what stands on old rules."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import signal
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gradefront.config import ConfigError, lacks, parse
+from gradefront.core import classes
+from gradefront.core.classes import ClassBook, NoRoom
+from gradefront.core.shortfall import Cause
+from lab.town import settings
+from milletdeal import Balancer
+from milletdeal import interface as i
+
+from .helper import CLASS, SETTINGS, Bench
+from .test_service import replace_config, town
+
+FILE: dict[str, Any] = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
+                        "limits": {"sockets": 512}, "settings": settings()}
+
+
+def broken(path: str, value: object) -> dict[str, Any]:
+    told = copy.deepcopy(FILE)
+    at: Any = told
+    *keys, last = path.split(".")
+    for key in keys:
+        at = at[int(key) if key.isdigit() else key]
+    if value is None:
+        del at[last]
+    else:
+        at[last] = value
+    return told
+
+
+@pytest.mark.parametrize("value", [0, -1, True, "4", "", float("nan"), float("inf"), [], {}, 0.5])
+@pytest.mark.parametrize("path", ["grades.1.deadlineUs", "grades.0.aimUs", "permissions.maxAttempts"])
+def test_a_time_or_limit_that_is_no_number_above_0_is_named_and_turned_down(path: str, value: object) -> None:
+    with pytest.raises(ConfigError) as error:
+        parse(broken(f"settings.{path}", value), {})
+    assert path.rpartition(".")[2] in str(error.value)
+
+
+@pytest.mark.parametrize("path", ["settings", "discovery", "limits", "settings.grades", "settings.permissions",
+                                  "settings.permissions.maxAttempts", "settings.rules.drainGraceUs",
+                                  "settings.grades.1.deadlineUs", "settings.grades.0.name",
+                                  "settings.grades.1.semantics"])
+def test_a_file_that_lacks_a_key_of_the_one_before_is_incomplete(path: str) -> None:
+    missing = lacks(broken(path, None), FILE)
+    assert missing.replace("[", ".").replace("]", "") == path
+    assert lacks(FILE, FILE) == ""
+    more = broken("settings.grades", [*FILE["settings"]["grades"], {**FILE["settings"]["grades"][0], "name": "new"}])
+    assert lacks(more, FILE) == "" and lacks(broken("settings.permissions", 3), FILE) == "settings.permissions"
+
+
+def test_a_class_keeps_its_number_while_a_visit_holds_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(classes, "MOST", 3)
+    slow = replace(CLASS, deadline_us=9)
+    book = ClassBook().take(("a", "b"), (CLASS, CLASS), ())
+    book = book.take(("b", "a"), (CLASS, slow), {0, 1})
+    assert book.numbers() == {"b": 1, "a": 2} and book.rules == (CLASS, CLASS, slow)
+    assert book.take(("a", "b"), (CLASS, CLASS), ()).numbers() == {"a": 0, "b": 1}, "told again: as before"
+    assert book.take(("c", "b"), (CLASS, CLASS), {1, 2}).names == ("c", "b", "a"), "nobody holds the old a"
+    with pytest.raises(NoRoom):
+        book.take(("c", "d"), (CLASS, CLASS), {0, 1, 2})
+
+
+def test_open_visits_keep_the_rules_under_which_they_came() -> None:
+    bench = Bench()
+    old, _ = bench.arrive()
+    told = replace(SETTINGS, classes=(replace(CLASS, repeat=i.Repeat.UNSAFE),), max_attempts=1)
+    book, merged = bench.desk.retuned(told, ("visit-checkin",))
+    assert book.numbers() == {"visit-checkin": 1} and merged.classes[0] == CLASS
+    bench.desk.retune(book, merged, True)
+    new, carer = bench.arrive()
+    assert isinstance(bench.events[-2], i.NewSettings), "told before the first request under them"
+    for visit, most in ((old, 4), (new, 1)):
+        for _ in range(6):
+            bench.order(i.Start(visit.number, "box-1", 500_000))
+            if not bench.attempts[-1].over:
+                bench.attempts[-1].ends(Cause.BROKEN)
+        assert visit.attempts == most
+    assert old.may_be_refused, "safe, by its own rules"
+    new.call = replace(new.call, klass=1)
+    assert not new.may_be_refused, "what may have run and must not run twice is no invitation to come again"
+    bench.desk.lame_duck()
+    bench.wait(3_700_000)
+    assert carer.told == ["fail"]
+
+
+def test_the_module_counts_the_rounds_of_a_request_by_the_settings_it_came_under() -> None:
+    def rounds(first: bool) -> int:
+        b = Balancer(SETTINGS, 1)
+        b.handle(0, i.ListUpdate(tuple(i.ServerEntry(f"s{n}") for n in range(9))))
+        change = i.NewSettings(replace(SETTINGS, max_attempts=1))
+        events: list[i.Event] = [i.Request(7, 2_000_000), change]
+        todo = [a for e in (events if first else events[::-1]) for a in b.handle(1, e)]
+        starts, now = 0, 1
+        while todo:
+            action = todo.pop(0)
+            now += 1
+            if isinstance(action, i.Start):
+                starts += 1
+                todo += b.handle(now, i.Outcome(7, starts, action.server, i.Result.CONNECT_FAILED))
+            elif isinstance(action, i.SetTimer) and not todo:
+                todo += b.handle(now, i.TimerFired(action.timer))
+        return starts
+    assert rounds(first=False) == 1 < rounds(first=True) <= 4
+
+
+def test_the_program_takes_new_classes_and_nothing_of_a_broken_file(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with town(tmp_path, ["UP r-1"], settings(), admin=True) as here:
+            relay = here.relay
+
+            async def hang_up(expected: str) -> None:
+                relay.process.send_signal(signal.SIGHUP)
+                await relay.line(expected)
+            old = await here.device()
+            old.open()
+            assert await old.line() == "UP r-1"
+            whole = (tmp_path / "config.json").read_text()
+            lame: dict[str, Any] = json.loads(whole)
+            lame["settings"]["grades"][0]["deadlineUs"] = True
+            for text, named in (("", "not JSON"), (whole[:300], "not JSON"),
+                                (json.dumps(lame), r"grades\[0\].deadlineUs"),
+                                (whole.replace('"discovery": "ask"', '"x": 1'), "settings.discovery: missing")):
+                (tmp_path / "config.json").write_text(text)
+                await hang_up(f"not taken, the old one stays: .*{named}")
+            (tmp_path / "config.json").write_text(whole)
+            other = settings(maxAttempts=2)
+            other["grades"] = [{**other["grades"][0], "name": "night-call"}, other["grades"][0]]
+            replace_config(tmp_path, settings=other)
+            await hang_up("classes night-call, roster-feed, 2 attempts")
+            new, dropped = await here.device(), await here.device()
+            new.say(new.OPEN.format(id=new.id, d=1500, more="").replace("visit-checkin", "night-call"))
+            assert await new.line() == "UP r-1"
+            dropped.open()
+            assert await dropped.line() == "ERR"
+            assert await old.ask("still") == "re:still"
+            told = await relay.figures()
+            assert told["svc_conf_invalid_total"] == 4 and told["svc_conf_loaded_total"] == 1
+            assert told['svc_answered_total{group="night-call"}'] == 1
+            assert told['svc_answered_total{group="visit-checkin"}'] == 1, "a dropped class keeps its counts"
+            assert told['svc_errored_total{group="visit-checkin"}'] == 1
+    asyncio.run(play())
