Hand standing visits to the next process with their sockets, so that nobody need move

Ruled out: slow starts (yes after 0.6 to 0.7 s), turned back clients (0 of 4 upgrades).

Change: gradefront/state/ passes both sockets of a visit by SCM_RIGHTS with a checked description; what can't go moves as before. A stale name, nonsense, a next process that breaks off, another version: each has a test.

--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -231,6 +231,29 @@
         self._reach_out(visit, box, min(visit.deadline_us, self.clock() + BROUGHT_TRY_US))
         return visit
 
+    def take_over(self, call: Call, carer: CarerSide, caller: BoxCaller, box: str, heard_us: int,
+                  asked_us: tuple[int, ...]) -> tuple[Visit, Attempt]:
+        """A visit that stood in the process before this one, answered there. Its attempt gets its leg from the
+        caller."""
+        visit = self._new(call, carer, caller, 0, box)
+        visit.step(Stage.REACHING)
+        visit.step(Stage.STANDING)
+        attempt = visit.attempt = Attempt(self, visit, box, visit.deadline_us)
+        attempt.reach, attempt.heard_us = Reach.UP, heard_us
+        attempt.asked.extend(asked_us)
+        visit.attempts = 1
+        self.put(i.OpenConnection(self._request(visit), box))
+        return visit, attempt
+
+    def given_away(self, visit: Visit) -> None:
+        """A standing visit goes on in the next process; nothing of it ends."""
+        attempt = visit.attempt
+        assert visit.stage is Stage.STANDING and attempt
+        self._over(visit)
+        attempt.over = True
+        self.tally.add("given_away")
+        self._tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
+
     def _new(self, call: Call, carer: CarerSide, caller: BoxCaller, patience_us: int,
              pinned: str = "") -> Visit:
         now = self.clock()
@@ -496,7 +519,8 @@
 
     def leave(self, done: Callable[[], None], replaced: bool = False) -> None:
         """The relay is to stop: answer on, tell what stands to move, spread over the time there is. `replaced`: a new
-        process takes the clients in meanwhile, so that there is no reason to hold them back."""
+        process takes the clients in meanwhile and nobody takes these visits over, so that nothing is gained by
+        waiting."""
         if self.duty is Duty.LEAVING:
             return
         lame = self.duty is Duty.LAME_DUCK
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -75,7 +75,7 @@
     """One attempt at a push box. A leg tells it how far it came; once over, it hears nothing more."""
 
     __slots__ = ("desk", "visit", "number", "box", "reach", "began_us", "until_us", "timer", "leg", "over",
-                 "asked", "heard_us", "report")
+                 "asked", "heard_us", "report", "load")
 
     def __init__(self, desk: Desk, visit: Visit, box: str, until_us: int) -> None:
         self.desk = desk
@@ -88,6 +88,7 @@
         self.timer: Timer | None = None
         self.leg: BoxLeg | None = None
         self.over = False
+        self.load = 0.0  # what the push box last told of the visit's load, us of work a second; 0: nothing
         self.report: LoadReport | None = None  # what the push box's last word said of its load
         self.asked: deque[int] = deque(maxlen=16)  # when messages went to the push box that await a reply
 
@@ -133,6 +134,7 @@
     def told_load(self, load: float) -> None:
         """The push box told what load this visit is now."""
         if not self.over:
+            self.load = load
             self.desk.told_visit_load(self, load)
 
     def close(self, how: Ending) -> None:
--- a/gradefront/net/base.py
+++ b/gradefront/net/base.py
@@ -31,6 +31,11 @@
         """What has come of a line that has no end yet."""
         return cast(bytes, cast(Any, self).clearLineBuffer())
 
+    def take_bytes(self, data: bytes) -> None:
+        """Take what another process, or this one, read of the connection before."""
+        if data:
+            cast(Any, self).dataReceived(data)
+
     def read_bytes(self) -> None:
         """From here on bytes, not lines."""
         cast(Any, self).setRawMode()
--- a/gradefront/net/front.py
+++ b/gradefront/net/front.py
@@ -40,6 +40,7 @@
         self.visit: Visit | None = None
         self.leg: PlatformLeg | None = None
         self.pings = 0
+        self.id = ""  # of the visit that it made
         self.closing = False
 
     # ---- as Twisted's protocol
@@ -84,6 +85,7 @@
         try:
             call, box = read_first(line, front.config)
             front.new_id(read_id(line))
+            self.id = read_id(line).decode()
         except BadLine as error:
             if error.klass in front.desk.book.names:  # it was in force before
                 front.desk.tally.add_of_class("errored_total", error.klass)
@@ -124,14 +126,18 @@
     # ---- as the core's carer side
 
     def seat(self, leg: BoxLeg, receipt: object) -> None:
-        """Pass the push box's own line on, then all lines, each side held back by the other's pace."""
-        assert isinstance(leg, PlatformLeg) and leg.line and isinstance(receipt, bytes)
+        """Pass the push box's own line on, then all lines."""
+        assert isinstance(leg, PlatformLeg) and isinstance(receipt, bytes)
+        self.say(receipt)
+        if not self.closing:
+            self.join(leg)
+
+    def join(self, leg: PlatformLeg) -> None:
+        """Pass all lines on, both ways, each side held back by the other's pace."""
+        assert leg.line
         ours, theirs = self.wire, leg.line.wire
         self.leg = leg
         leg.to_carer = ours.write
-        self.say(receipt)
-        if self.closing:
-            return
         ours.registerProducer(theirs, True)
         theirs.registerProducer(ours, True)
 
--- a/gradefront/net/reactor.py
+++ b/gradefront/net/reactor.py
@@ -31,6 +31,15 @@
     def adoptStreamPort(self, fileDescriptor: int, addressFamily: int, factory: Any) -> Any:
         """Listen on a descriptor that listens already; it is duplicated, and never shut down."""
 
+    def adoptStreamConnection(self, fileDescriptor: int, addressFamily: int, factory: Any) -> Any:
+        """Take up a connection that stands; its descriptor is duplicated."""
+
+    def addReader(self, reader: Any) -> None:
+        """Have `reader.doRead` called when its descriptor is ready."""
+
+    def removeReader(self, reader: Any) -> None:
+        """No more."""
+
     def listenUDP(self, port: int, protocol: Any, interface: str = "", maxPacketSize: int = 8192) -> Any:
         """Listen for datagrams."""
 
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -30,6 +30,7 @@
 from .ops.figures import lines
 from .quic.switch import FILE
 from .quic.switch import load as load_quic
+from .state.handover import Giving, Taking, call_next
 
 if TYPE_CHECKING:
     from .quic.config import QuicConfig
@@ -50,6 +51,7 @@
         self.reactor = reactor
         self.quic: QuicFront | None = None
         self.stopping = False
+        self.taking: Taking | None = None
         self.driver = Driver(reactor, clock)
         self.desk = desk = Desk(Balancer(config.settings, config.seed), config.settings, clock,
                                 self.driver.poke, config.tells_delay, config.class_names)
@@ -81,8 +83,11 @@
 
     def _adopt(self) -> None:
         """Take clients from the listener that the platform holds, beside the process that is there before."""
-        log.info("relay %s takes clients from descriptor %d", self.config.name, self.listener.fileno())
         self.port = self.reactor.adoptStreamPort(self.listener.fileno(), socket.AF_INET, self.front)
+        if "TMPDIR" in os.environ:
+            self.taking = Taking(self.desk, self.front, self.reactor, Path(os.environ["TMPDIR"]))
+            self.taking.open()
+        log.info("relay %s takes clients from descriptor %d", self.config.name, self.listener.fileno())
 
     def calls(self) -> dict[str, Answer]:
         """What the operators' door answers."""
@@ -147,7 +152,13 @@
             return
         if self.port:
             self.port.stopListening()  # whoever waits in the listener's queue is the new process's
-        self.desk.leave(self._stop, replaced=True)
+        call = call_next(self.taking) if self.taking else None
+        if self.taking:
+            self.taking.close()
+        if call:
+            log.info("visits go to the process that takes over")
+            Giving(self.desk, self.front, call).step()
+        self.desk.leave(self._stop, replaced=call is None)
         self._stop_when_empty()
 
     def _stop_when_empty(self) -> None:
--- /dev/null
+++ b/gradefront/state/__init__.py
@@ -0,0 +1,1 @@
+"""What one process of a relay leaves the next."""
--- a/lab/town.py
+++ b/lab/town.py
@@ -220,8 +220,9 @@
 @asynccontextmanager
 async def program(folder: Path, discovery: Discovery, told: dict[str, Any],
                   quic: dict[str, Any] | None = None, admin: bool = False,
-                  listener: socket.socket | None = None) -> AsyncIterator[Program]:
-    """Start the program; its ports are the system's choice. With a listener it inherits that."""
+                  listener: socket.socket | None = None, shared: Path | None = None) -> AsyncIterator[Program]:
+    """Start the program; its ports are the system's choice. With a listener it inherits that; `shared` is the folder
+    that it has in common with other processes of its relay."""
     if not discovery.serves:  # another process may be watching it already
         await discovery.open()
     config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
@@ -234,7 +235,8 @@
         sys.executable, "-m", "gradefront", stderr=asyncio.subprocess.PIPE,
         cwd=Path(__file__).resolve().parent.parent,
         pass_fds=[listener.fileno()] if listener else [],
-        env={**({"LB_SOCKET_FD": str(listener.fileno())} if listener else {}),
+        env={**({"TMPDIR": str(shared)} if shared else {}),
+             **({"LB_SOCKET_FD": str(listener.fileno())} if listener else {}),
              "LB_CONFIG": str(folder / "config.json"), "GRADEFRONT_QUIC": str(folder / "quic.json"),
              "PATH": "/usr/bin:/bin"})
     running = Program(process)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import socket
@@ -11,12 +12,15 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from gradefront.config import ConfigError, parse
 from gradefront.core.duty import Duty
 from gradefront.serve import inherited
+from gradefront.state.form import BadForm, Left, read, write
+from gradefront.state.handover import NAME
 from lab.town import Discovery, LineDevice, Program, PushBox, program, settings, soon
 from milletdeal import interface as i
 
@@ -119,3 +123,114 @@
                                            stdin=subprocess.DEVNULL, capture_output=True, text=True, timeout=30)
             assert done.returncode == 2 and "LB_SOCKET_FD: 0" in done.stderr and "Traceback" not in done.stderr
     asyncio.run(play())
+
+
+LEFT = Left("9b1f03aa5c7e2d41", "visit-checkin", {"aim_us": 1}, "k", "g", 0, "box-0", 5321.5, 1_000_000,
+            (1_000_000,), b"half a \xff", b"")
+
+
+def test_a_description_is_read_as_it_was_written_and_nonsense_is_told() -> None:
+    assert read(write(LEFT), 2_000_000) == LEFT
+    good = json.loads(write(LEFT))
+    for name, value in (("version", 0), ("box", 3), ("load", -1), ("load", "x"), ("asked_us", [10**15]),
+                        ("heard_us", None), ("from_box", "%"), ("from_carer", "A" * 8000), ("rules", []), ("x", 1)):
+        with pytest.raises(BadForm):
+            read(json.dumps({**good, name: value}).encode(), 2_000_000)
+    for cut in range(0, len(write(LEFT)) - 1, 7):
+        with pytest.raises(BadForm):
+            read(write(LEFT)[:cut], 2_000_000)
+
+
+class Handing:
+    """An old and a new process of one relay, with what a folder of earlier ones holds."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.box, self.discovery = PushBox(lambda line: "UP r-1"), Discovery()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.stack = AsyncExitStack()
+
+    async def __aenter__(self) -> Handing:
+        self.discovery.add("box-0", await self.box.open())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stack.aclose()
+        self.listener.close()
+        self.box.server.close()
+
+    async def start(self, name: str, told: dict[str, Any] | None = None) -> Program:
+        (self.folder / name).mkdir()
+        process = await self.stack.enter_async_context(program(
+            self.folder / name, self.discovery, told or settings(deadline_ms=4000), admin=True,
+            listener=self.listener, shared=self.folder))
+        await process.line("takes clients from descriptor")
+        return process
+
+
+def test_standing_visits_go_to_the_next_process_and_nobody_moves(tmp_path: Path) -> None:
+    async def play() -> None:
+        (tmp_path / NAME).write_text("left by somebody")
+        async with Handing(tmp_path) as here:
+            old = await here.start("old")
+            devices = [await LineDevice.connect(old.ports[0]) for _ in range(30)]
+            for n, device in enumerate(devices):
+                device.open(d=4000)
+                assert await device.line() == "UP r-1"
+                device.writer.write(b"half a li")  # a line that one process begins to read
+                here.box.writers[n].write(b"and ha")
+            new = await here.start("new")
+            assert await old.stop() == 0
+            counts = await new.counters()
+            assert counts["taken_over"] == counts["visits_now"] == 30 and "stood" not in counts
+            for device, writer in zip(devices, here.box.writers, strict=True):
+                device.writer.write(b"ne\r\n")
+                writer.write(b"lf back\r\n")
+                assert {await device.line(), await device.line()} == {"re:half a line", "and half back"}
+            assert (await new.figures())["svc_current"] == 30
+            devices[0].writer.close()
+            await soon(here.box.ended.wait())
+            here.box.writers[1].close()
+            assert await devices[1].line() == ""
+            third = await here.start("third", settings(aim_ms=200, deadline_ms=4000))  # under other rules
+            assert await new.stop() == 0
+            assert [await device.line() for device in devices[2:]] == ["MOVE"] * 28
+            assert (await third.counters())["visits_now"] == 0
+    asyncio.run(play())
+
+
+def test_a_next_process_that_breaks_off_leaves_the_visits_where_they_are(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Handing(tmp_path) as here:
+            old = await here.start("old")
+            device = await LineDevice.connect(old.ports[0])
+            device.open(d=4000)
+            assert await device.line() == "UP r-1"
+            (tmp_path / NAME).unlink()
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as stranger:
+                stranger.bind(str(tmp_path / NAME))
+                stranger.listen()
+                old.process.send_signal(signal.SIGTERM)
+                call = await asyncio.to_thread(stranger.accept)
+                call[0].close()  # before or after the first visit came to it: that one's sockets go with it
+            assert await device.line() in ("MOVE", "")
+            assert await old.stop() == 0
+    asyncio.run(play())
+
+
+def test_nonsense_from_a_process_before_ends_nothing_here(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Handing(tmp_path) as here:
+            new = await here.start("new")
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as call, socket.socket() as other:
+                call.connect(str(tmp_path / NAME))
+                socket.send_fds(call, [b"{}"], [other.fileno()] * 2)
+                socket.send_fds(call, [write(LEFT)], [other.fileno()])
+                call.send(b"\0" * 60_000)
+            await new.line("visits were handed over so far")
+            counts = await new.counters()
+            assert counts["taken_over_badly"] == 3 and counts["visits_now"] == 0
+            device = await LineDevice.connect(new.ports[0])
+            device.open(d=4000)
+            assert await device.line() == "UP r-1"
+    asyncio.run(play())
