--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -147,7 +147,8 @@
 
     def leave(self) -> None:
         """A planned restart."""
-        if self.config.socket_fd is None:
+        if self.config.socket_fd is None or (self.taking and self.taking.mine()):
+            # Nobody replaces this process yet: it goes on reading the listener, and holds its visits, to the last.
             self.desk.leave(self._stop)
             return
         if self.port:
@@ -169,6 +170,8 @@
             self._stop()
 
     def _stop(self) -> None:
+        if self.taking:
+            self.taking.close()
         if self.stopping:
             return
         self.stopping = True
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -111,6 +112,11 @@
             assert await relay.call("LAMEDUCK") == await relay.call("LAMEDUCK") == ["ok lame duck"]
             assert await relay.call("PING") == ["fail lame duck"]
             assert await (await here.device()).ask("PING") == "ERR"
+            for _ in range(3):  # new settings in the midst of a drain, in quick succession
+                relay.process.send_signal(signal.SIGHUP)
+            await relay.line("configuration taken")
+            assert 1 <= (await relay.figures())["svc_conf_loaded_total"] <= 3
+            assert await relay.call("PING") == ["fail lame duck"]
             assert await device.ask("still") == "re:still"
             assert await device.line() == "MOVE" and await device.line() == ""
             mute.writer.close()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,7 @@
 import subprocess
 import sys
 from collections import Counter
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Any
 
@@ -101,6 +101,9 @@
             for _ in range(20):
                 devices.append(asyncio.ensure_future(device(port)))
                 await asyncio.sleep(0)
+            old.process.send_signal(signal.SIGHUP)  # and calls out of turn, in the midst of it
+            with suppress(OSError):  # it may be gone already
+                assert (await old.call("LAMEDUCK"))[:1] in ([], ["ok leaving"])
             assert await old.stop() == 0
             assert (await new.figures())["svc_current"] >= 20
             third = await start(stack, "third")  # an upgrade right after another
@@ -199,6 +202,19 @@
     asyncio.run(play())
 
 
+def test_a_process_that_nobody_replaces_takes_clients_to_the_last(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Handing(tmp_path) as here:
+            alone = await here.start("alone")
+            alone.process.send_signal(signal.SIGTERM)
+            await alone.line("leaving: 0 visits")
+            device = await LineDevice.connect(alone.ports[0])
+            device.open(d=4000)
+            assert [await device.line(), await device.line()] == ["UP r-1", "MOVE"]
+            assert await alone.stop() == 0 and not (tmp_path / NAME).exists()
+    asyncio.run(play())
+
+
 def test_a_next_process_that_breaks_off_leaves_the_visits_where_they_are(tmp_path: Path) -> None:
     async def play() -> None:
         async with Handing(tmp_path) as here:
