--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -139,6 +139,28 @@
     assert carer([FIRST, *(bytes([b]) for b in b"".join(lines))]) == whole
 
 
+def test_who_does_not_read_its_move_is_cut_in_time() -> None:
+    class Stuck(Piped):
+        cut = False
+
+        def abortConnection(self) -> None:
+            self.cut = True
+    bench = Bench()
+    front = PlatformFront(CONFIG, bench.desk, bench)
+    line, wire = cast(Any, front.buildProtocol(None)), Stuck()
+    line.makeConnection(wire)
+    line.dataReceived(FIRST)
+    line.visit.carer.seat = lambda *_: None
+    bench.order(i.Start(line.visit.number, "box-1", 1_000_000))
+    bench.attempts[-1].stands(b"UP r-1")
+    line.dataReceived(b"half a li")
+    bench.desk.lame_duck()
+    bench.wait(3_300_000)
+    assert wire.said == b"MOVE\r\n" and not bench.desk.visits, "told, whatever its own half line"
+    bench.wait(2_100_000)
+    assert wire.cut
+
+
 def test_a_half_line_of_one_peer_keeps_no_other_waiting() -> None:
     bench = Bench()
     front = PlatformFront(CONFIG, bench.desk, bench)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -16,7 +16,7 @@
 from gradefront.core import classes
 from gradefront.core.classes import ClassBook, NoRoom
 from gradefront.core.shortfall import Cause
-from lab.town import settings
+from lab.town import Discovery, settings, soon
 from milletdeal import Balancer
 from milletdeal import interface as i
 
@@ -137,8 +137,12 @@
             (tmp_path / "config.json").write_text(whole)
             other = settings(maxAttempts=2)
             other["grades"] = [{**other["grades"][0], "name": "night-call"}, other["grades"][0]]
-            replace_config(tmp_path, settings=other)
+            moved = Discovery()
+            moved.members = here.discovery.members
+            await moved.open()
+            replace_config(tmp_path, settings=other, discovery=f"127.0.0.1:{moved.port}")
             await hang_up("classes night-call, roster-feed, 2 attempts")
+            await soon(moved.asked.wait())  # one file may change both
             new, dropped = await here.device(), await here.device()
             new.say(new.OPEN.format(id=new.id, d=1500, more="").replace("visit-checkin", "night-call"))
             assert await new.line() == "UP r-1"
@@ -150,4 +154,5 @@
             assert told['svc_answered_total{group="night-call"}'] == 1
             assert told['svc_answered_total{group="visit-checkin"}'] == 1, "a dropped class keeps its counts"
             assert told['svc_errored_total{group="visit-checkin"}'] == 1
+            moved.server.close()
     asyncio.run(play())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -202,6 +202,22 @@
     asyncio.run(play())
 
 
+def test_an_upgrade_in_the_midst_of_a_drain_keeps_what_still_stands(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Handing(tmp_path) as here:
+            old = await here.start("old")
+            device = await LineDevice.connect(old.ports[0])
+            device.open(d=4000)
+            assert await device.line() == "UP r-1"
+            new = await here.start("new")
+            assert await old.call("LAMEDUCK") == ["ok lame duck"]
+            assert await old.stop() == 0
+            assert await new.call("PING") == ["ok serving"]
+            assert await device.ask("still") == "re:still"
+            assert (await new.counters())["visits_now"] == 1
+    asyncio.run(play())
+
+
 def test_a_process_that_nobody_replaces_takes_clients_to_the_last(tmp_path: Path) -> None:
     async def play() -> None:
         async with Handing(tmp_path) as here:
