Judge a box's room by its cores also where a relay has few connections

Ruled out: holds (0), cold or full boxes (0). At fault: Balancer._full, which counted cores by the rough weight in a node's first 10 s only.

Change: it counts them always; the budget of cold boxes stays by own connections, which add up over the relays.

--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -452,12 +452,13 @@
         hint = job.request.load_hint
         return min(hint / self.mean_work, 100.0) if hint > 0 and self.mean_work > 0 else 1.0
 
-    def _full(self) -> float:
-        """Mean connections that fill a server, from this node's part of them and the mean load."""
+    def _full(self, by_cores: bool = True) -> float:
+        """Mean connections that fill a server, by this node's part of them and the mean load; by its cores no
+        fewer, where a rough weight counts them."""
         one_core = 1e6 / self.mean_work if self.mean_work > 0 else 1.0  # a server has one core at the least
-        if self.s.weight_kind is WeightKind.ROUGH and self.now < self.new_until:
-            # Guards against refusing the crowd that comes to a node that has just started and knows few
-            # connections: there a rough weight counts a server's cores.
+        if self.s.weight_kind is WeightKind.ROUGH and by_cores:
+            # Guards against refusing the crowd that comes to a node with few connections, since it has just
+            # started or was emptied a moment ago, when another one sends its clients away.
             one_core *= min(max(self.mean_weight, 1.0), MOST_CORES)
         return max(len(self.connections) * self._part() / max(self.mean_load, 0.05), one_core, LEAST_FULL)
 
@@ -476,7 +477,9 @@
         coldness = self._coldness(server)
         if coldness >= 1:
             return True
-        rate = COLD_SAFETY * self.s.tip_multiple * coldness * self._full() / self.s.cold_us
+        # Parts by own connections add up to the whole over all nodes; parts by cores would to more.
+        full = self._full(by_cores=self.now < self.new_until)
+        rate = COLD_SAFETY * self.s.tip_multiple * coldness * full / self.s.cold_us
         rate /= self.s.fleet_size
         if server.tokens_at == 0:  # randomised rounding: few nodes start with a whole token at hand
             server.tokens, server.tokens_at = self.random.random(), self.now
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -228,13 +228,13 @@
     assert start.server == "far"
 
 
-def crowd(**settings: Any) -> int:
-    """How many of a hundred that come within a second a node places that has just started."""
+def crowd(begin_us: int = 0, **settings: Any) -> int:
+    """How many of a hundred that come within a second a node places that started `begin_us` ago and has none."""
     b = Balancer(i.Settings(**{**PROBED, "fleet_size": 2, **settings}), 1)
     b.handle(0, i.ListUpdate(tuple(i.ServerEntry(f"s{n}", weight=4.0) for n in range(5))))
     placed = 0
     for n in range(100):
-        now = 1_000 + n * 10_000
+        now = begin_us + 1_000 + n * 10_000
         starts = of(place(b, now, n, {f"s{k}": 0.2 for k in range(5)}), i.Start)
         placed += len(starts)
         if starts:
@@ -247,6 +247,11 @@
     assert crowd(weight_kind=i.WeightKind.ROUGH) > 90 > crowd()
 
 
+def test_a_node_with_few_connections_takes_in_the_crowd_that_another_sends_away() -> None:
+    """Guards against a relay that was emptied itself some seconds ago and takes big boxes for small ones."""
+    assert crowd(60_000_000, weight_kind=i.WeightKind.ROUGH) > 90 > crowd(60_000_000)
+
+
 def moved_at(report: float, mean: float, late_told: bool = False) -> int:
     """How many of twenty are moved off a server whose probe says `report`."""
     b = node(2, 1, **PROBED)
