Bring connections that cross zones home, once, when there is room near

A trace of placements showed near boxes preferred in few of them, since the mean load stood between 0.5 and 0.6 and the preference ended at 0.5, and what stood at the start crosses as long as it lives. By the price list a crossing costs 0.1 for a request's life, a move 0.024.

Design: (a) near boxes are preferred at any load, by a tilt of 0.1 for 0.02; (b) a connection that crosses looks once within 8 s, and again, whether warm boxes near report under 0.5 on average, and moves then; one that has come back never does, so that nobody is moved twice for it.

--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -29,8 +29,9 @@
 FRESH_US = 500_000  # us: a report this new needs no probe
 FADE_US = 4_000_000  # us: age at which a report has lost 1 - 1/e of its say
 TILT = 4.0  # power of spare capacity in the split
-FAR = 0.02  # tilt of a server in another zone, where crossings cost: taken when those near are much fuller
-CALM = 0.5  # mean load up to which there is room elsewhere: crossings matter, and a full server sheds at once
+FAR = 0.1  # tilt of a server in another zone, where crossings cost: taken when those near are much fuller
+CALM = 0.5  # mean load up to which there is room: a full server sheds at once, who crosses comes home
+HOME_US = 8_000_000  # us: looks whether a crossing connection may come home; spread for reports to keep up
 LIMIT = 0.8  # load at which a server counts as full; loads swing, and near 1 work piles up
 POINTS = 16  # ring points of a mean server: evens out the gaps between servers
 SUSPECT_US = 1_000_000  # us: first suspicion after a connect failure, doubled by each further one
@@ -81,6 +82,7 @@
         self._watch = partial(self._do, i.WatchList())
         self.watching = False
         self.mean_load = 0.5  # mean of reports seen
+        self.near_load = 0.5  # and of those of warm servers in this zone
         self.mean_weight = 1.0  # of ready servers
         self.new_until = 0
         self.late_told = False
@@ -290,6 +292,20 @@
             self.servers[name].open[request.request] = None
             if self.servers[name].left:  # it began to drain while this was set up
                 self._move_soon([request.request], DRAIN_SPREAD_US)
+            elif not request.came_back and self._far(self.servers[name]):  # one move for it, no more
+                self._look_home(request.request)
+
+    def _look_home(self, request: int) -> None:
+        """Move a connection that pays for crossing by the second, once there is room near."""
+        def look() -> None:
+            if request not in self.connections:
+                return
+            if self.near_load < CALM:
+                self._drop(request)
+                self._do(i.Move(request))
+            else:
+                self._look_home(request)
+        self._after(self.random.uniform(0, HOME_US), look)
 
     def _drop(self, request: int) -> None:
         connection = self.connections.pop(request)
@@ -386,6 +402,8 @@
         if load is not None and 0 <= load < ABSURD:  # guards against lying reports; false for NaN too
             server.load, server.load_at, server.own = load, self.now, 0.0
             self.mean_load += (min(load, 2.0) - self.mean_load) / 16
+            if server.entry.zone == self.s.zone and self._coldness(server) >= 1:  # cold ones take little
+                self.near_load += (min(load, 2.0) - self.near_load) / 8
 
     def _load(self, server: Server) -> float:
         """Load over capacity as far as known: the report, fading toward the mean, and own sends since."""
@@ -431,7 +449,7 @@
 
     def _far(self, server: Server) -> bool:
         """Whether a connection there pays for its crossing between zones."""
-        return self.s.cross_zone > 0 and server.entry.zone != self.s.zone and self.mean_load < CALM
+        return self.s.cross_zone > 0 and server.entry.zone != self.s.zone
 
     def _build_ring(self) -> None:
         ready = [s.entry for s in self.servers.values() if s.entry.state is ServerState.READY]
