Look only at cold boxes that may get something now; their budget counts cores

At fault: _sample took boxes that _place then refused; and since such looks drew the mean load down, leaving them out made _full too small, so the budget counts cores like the rest.

--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -440,7 +440,7 @@
         for n in range(4 * most if self.ring else 0):
             point = crc32(f"{job.rounds}/{n}/{draw}".encode()) if draw else self.random.getrandbits(32)
             name = self.ring[bisect_left(self.ring, (point, "")) % len(self.ring)][1]
-            if self._usable(self.servers[name], job):
+            if self._usable(self.servers[name], job) and self._cold_allows(self.servers[name], job):
                 (suspect if self.now < self.servers[name].suspect_until else found)[name] = None
         among = list(found or suspect)  # suspects rather than none: all may be suspect after a cut
         far = [n for n in among if self._far(self.servers[n])]
@@ -470,11 +470,11 @@
         hint = job.request.load_hint
         return min(hint / self.mean_work, 100.0) if hint > 0 and self.mean_work > 0 else 1.0
 
-    def _full(self, by_cores: bool = True) -> float:
+    def _full(self) -> float:
         """Mean connections that fill a server, by this node's part of them and the mean load; by its cores no
         fewer, where a rough weight counts them."""
         one_core = 1e6 / self.mean_work if self.mean_work > 0 else 1.0  # a server has one core at the least
-        if self.s.weight_kind is WeightKind.ROUGH and by_cores:
+        if self.s.weight_kind is WeightKind.ROUGH:
             # Guards against refusing the crowd that comes to a node with few connections, since it has just
             # started or was emptied a moment ago, when another one sends its clients away.
             one_core *= min(max(self.mean_weight, 1.0), MOST_CORES)
@@ -495,9 +495,7 @@
         coldness = self._coldness(server)
         if coldness >= 1:
             return True
-        # Parts by own connections add up to the whole over all nodes; parts by cores would to more.
-        full = self._full(by_cores=self.now < self.new_until)
-        rate = COLD_SAFETY * self.s.tip_multiple * coldness * full / self.s.cold_us
+        rate = COLD_SAFETY * self.s.tip_multiple * coldness * self._full() / self.s.cold_us
         rate /= self.s.fleet_size
         if server.tokens_at == 0:  # randomised rounding: few nodes start with a whole token at hand
             server.tokens, server.tokens_at = self.random.random(), self.now
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -118,6 +118,20 @@
     assert sent <= 3 * (0.2 + 0.1) * 10 / 10 + 1
 
 
+def test_cold_servers_that_may_get_nothing_now_are_neither_probed_nor_in_the_way() -> None:
+    """Guards against a fleet half of whose servers are new: looks that could only end in a wait, and their price."""
+    start, seen = 10_000_000, set[str]()
+    for seed in range(40):
+        b = Balancer(i.Settings(**{**PROBED, "fleet_size": 200, "start_capacity": 0.2, "cold_us": 20_000_000}), seed)
+        b.handle(start, i.ListUpdate(tuple(i.ServerEntry(f"s{n}", started_us=start * (n >= 4)) for n in range(16))))
+        for server in b.servers.values():
+            server.tokens, server.tokens_at = float(server.entry.server == "s15"), start
+        probed = {p.server for p in of(b.handle(start, i.Request(1, 2_000_000)), i.Probe)}
+        assert probed <= {"s0", "s1", "s2", "s3", "s15"}, "only who may be sent something"
+        seen |= probed
+    assert len(seen) == 5
+
+
 def test_retries_after_a_list_error_are_jittered_and_backed_off() -> None:
     b = node(1, 5, ask_for_list=True)
     waits = [of(b.handle(10_000_000 * n, i.ListError()), i.SetTimer)[0].delay_us for n in range(8)]
