Have the stand-in for discovery send the empty lines that a watch is owed

At fault: lab/town.Discovery said nothing while nothing changed, so that any test that took over 3 s met the relay's guard against a watch cut off. Ruled out: the end of the old address's watches, which are closed without a word before.

--- a/lab/town.py
+++ b/lab/town.py
@@ -38,6 +38,9 @@
     return await asyncio.wait_for(what, PATIENCE_S)
 
 
+ALIVE_S = 1.0  # between two empty lines of a watch; a relay waits 3 s for one
+
+
 class Discovery:
     """The box list's service: answers watches, and tells changes when the test says."""
 
@@ -46,6 +49,7 @@
         self.revision = 1
         self.watches: list[asyncio.StreamWriter] = []
         self.asked = asyncio.Event()
+        self.silent = False  # says nothing while nothing changes, as one that is cut off
 
     async def open(self) -> None:
         self.server = await asyncio.start_server(self._watch, "127.0.0.1", 0)
@@ -68,9 +72,16 @@
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self._chunk(writer, self.list())
+            self._alive(writer)
             self.watches.append(writer)
             self.asked.set()
 
+    def _alive(self, writer: asyncio.StreamWriter) -> None:
+        """An empty line now and then: a watch without one counts as cut off."""
+        if not writer.is_closing() and not self.silent:
+            writer.write(b"1\r\n\n\r\n")
+            asyncio.get_running_loop().call_later(ALIVE_S, self._alive, writer)
+
     @staticmethod
     def _chunk(writer: asyncio.StreamWriter, told: dict[str, Any]) -> None:
         line = json.dumps(told).encode() + b"\n"
