Move nobody home while a box drains or warms up

Change: a look home waits while any listed box drains or is cold. The cold budget's test now plays two processes of each relay too. 651 tests pass.

--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -300,7 +300,11 @@
         def look() -> None:
             if request not in self.connections:
                 return
-            if self.near_load < CALM:
+            # Guards against more set-ups while servers drain or warm up: those left have enough of them.
+            settled = all(s.entry.state is ServerState.READY and self._coldness(s) >= 1
+                          for s in self.servers.values())
+            if settled and self.near_load < CALM:
+                self._log("home", "connections that cross zones are moved home, one by one")
                 self._drop(request)
                 self._do(i.Move(request))
             else:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,6 +6,8 @@
 import sys
 from typing import Any
 
+import pytest
+
 from milletdeal import Balancer
 from milletdeal import interface as i
 
@@ -105,10 +107,12 @@
     assert not of(actions, i.Probe)
 
 
-def test_cold_server_gets_only_this_nodes_part() -> None:
-    """Guards against pushing a cold server over: 20 nodes together stay within the budget."""
+@pytest.mark.parametrize("processes", [1, 2])
+def test_cold_server_gets_only_this_nodes_part(processes: int) -> None:
+    """Guards against pushing a cold server over: 20 nodes together stay within the budget, also while each has two
+    processes that place, in an upgrade."""
     sent = 0
-    for seed in range(20):
+    for seed in range(20 * processes):
         b = Balancer(i.Settings(classes=(CLASS,), fleet_size=20, start_capacity=0.2, cold_us=10_000_000,
                                 tip_multiple=3.0, fall_us=1_000_000), seed)
         b.handle(10_000_000, i.ListUpdate((i.ServerEntry("cold", started_us=10_000_000),)))
@@ -235,11 +239,13 @@
     assert near[0] >= 50 and near[1] < 45 and near[2] >= 50
 
 
-def homeward(near: float, price: float = 0.1, started_us: int = 0, **told: Any) -> list[int]:
+def homeward(near: float, price: float = 0.1, started_us: int = 0, third: i.ServerState = i.ServerState.READY,
+             **told: Any) -> list[int]:
     """When, of twenty connections that stand in the other zone, those move that do in 30 s, in ms; the server near
     reports `near`."""
     b = Balancer(i.Settings(**{**PROBED, "cross_zone": price, "cold_us": 60_000_000, "start_capacity": 0.2}), 1)
-    b.handle(0, i.ListUpdate((i.ServerEntry("near", started_us=started_us), i.ServerEntry("far", zone=1))))
+    b.handle(0, i.ListUpdate((i.ServerEntry("near", started_us=started_us), i.ServerEntry("far", zone=1),
+                                i.ServerEntry("third", third))))
     timers = {t.timer: t.delay_us for n in range(20)
               for t in of(b.handle(0, i.OpenConnection(i.Request(n, 1, **told), "far")), i.SetTimer)}
     for _ in range(30):
@@ -262,6 +268,7 @@
     assert not homeward(0.3, price=0.0), "crossings are free"
     assert not homeward(0.3, came_back=True), "at most one move for it"
     assert not homeward(0.1, started_us=1), "cold servers have no room, whatever they report"
+    assert not homeward(0.3, third=i.ServerState.DRAINING), "set-ups enough while a server is emptied"
 
 
 def test_far_servers_are_taken_where_the_near_are_full() -> None:
