--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -238,6 +238,32 @@
     asyncio.run(play())
 
 
+def test_a_next_process_that_dies_among_many_takes_only_what_it_had_been_given(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with Handing(tmp_path) as here:
+            old = await here.start("old")
+            devices = [await here.standing(old) for _ in range(40)]
+            (tmp_path / NAME).unlink()
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as stranger:
+                stranger.bind(str(tmp_path / NAME))
+                stranger.listen()
+                old.process.send_signal(signal.SIGTERM)
+
+                def take_ten_and_die() -> None:
+                    call, _ = stranger.accept()
+                    with call:
+                        for _ in range(10):
+                            for fd in socket.recv_fds(call, 1 << 16, 4)[1]:
+                                os.close(fd)
+                await asyncio.to_thread(take_ten_and_die)
+            ends = Counter([await device.line() for device in devices])
+            # Ten, and what lay in the socket unread; whoever was still here is told.
+            assert set(ends) <= {"MOVE", ""} and 10 <= ends[""] <= 20 and ends["MOVE"] == 40 - ends[""]
+            await old.line("nothing more can be handed over")
+            assert await old.stop() == 0
+    asyncio.run(play())
+
+
 def test_nonsense_from_a_process_before_ends_nothing_here(tmp_path: Path) -> None:
     async def play() -> None:
         async with Handing(tmp_path) as here:
