Bring crossing connections home only in quiet times, over 20 s

At fault: the limit CALM and HOME_US in _look_home.

Change: the limit is 0.35, half of what moving aims at, since all that crosses may come; looks are spread over 20 s; the tilt of far boxes is back at 0.1.

--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -29,9 +29,10 @@
 FRESH_US = 500_000  # us: a report this new needs no probe
 FADE_US = 4_000_000  # us: age at which a report has lost 1 - 1/e of its say
 TILT = 4.0  # power of spare capacity in the split
-FAR = 0.07  # tilt of a server in another zone, where crossings cost: taken where it has twice the spare room
-CALM = 0.5  # mean load up to which there is room: a full server sheds at once, who crosses comes home
-HOME_US = 8_000_000  # us: looks whether a crossing connection may come home; spread for reports to keep up
+FAR = 0.1  # tilt of a server in another zone, where crossings cost: taken at nearly twice the spare room
+CALM = 0.5  # mean load up to which there is room elsewhere: a full server sheds at once
+HOME_AT = 0.35  # load near up to which who crosses comes home: half of what moving aims at, as all may come
+HOME_US = 20_000_000  # us: looks for it are spread over this; reports must keep up with the sum of all nodes
 LIMIT = 0.8  # load at which a server counts as full; loads swing, and near 1 work piles up
 POINTS = 16  # ring points of a mean server: evens out the gaps between servers
 SUSPECT_US = 1_000_000  # us: first suspicion after a connect failure, doubled by each further one
@@ -303,7 +304,7 @@
             # Guards against more set-ups while servers drain or warm up: those left have enough of them.
             settled = all(s.entry.state is ServerState.READY and self._coldness(s) >= 1
                           for s in self.servers.values())
-            if settled and self.near_load < CALM:
+            if settled and self.near_load < HOME_AT:
                 self._log("home", "connections that cross zones are moved home, one by one")
                 self._drop(request)
                 self._do(i.Move(request))
