Fill a cold box up to what it can do now, each relay its part, rounded at random

Looked at and ruled out: late lists (told 1.5 s after the start, at every relay), suspicion of the new processes (none), probes (answered). The lines at fault were Balancer._cold_allows: its budget let a fleet place 0.46 connections a second on a box that takes some fifty, so that what stood there rose four times slower than what the box could do, and a relay whose part is under one had to wait for a whole token.

The budget is on what stands: a box may hold LIMIT of what it can do for certain by its start time, each relay its part. A part below one connection is rounded at random, once for each box and relay, so that it holds in the mean over the fleet. Known loads count as told, attempts out count as one. COLD_SAFETY and the tokens are gone; no constant came in their place. Not taken: the same rate tripled (it still forgets what has left), and one connection for every relay (40 at once push a box over).

--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -42,7 +42,6 @@
 NEW_US = 10_000_000  # us: so long after its start a node has seen too few connections to judge by
 MOST_CORES = 16.0  # cores: the most that a rough weight is believed
 LEAST_FULL = 10.0  # mean connections: what any server takes, until this node has seen enough to tell
-COLD_SAFETY = 0.5  # part of the cold budget used: nodes' estimates of capacity err
 MOVE_AT = 0.85  # load above which standing connections are moved away
 MOVE_TOLD = 1.0  # load in any report above which some move, though no message was late
 SHED_US = 5_000_000  # us: for so long after a drop, any report above MOVE_AT moves some
@@ -119,7 +118,7 @@
         for entry in update.entries:
             server = known.get(entry.server)
             if server is None or server.entry.started_us < entry.started_us:  # new, or a new process
-                server = Server(entry)
+                server = Server(entry, chance=self.random.random() if entry.started_us else 0.0)
             server.entry = entry
             self.servers[entry.server] = server
             if entry.state is ServerState.DRAINING and not server.left:
@@ -210,7 +209,7 @@
         job.out = True
         job.tried.append(best)
         server.own += cost / self._full()
-        server.tokens -= cost
+        server.coming.add(job.request.request)
         timeout = min(job.deadline - self.now, int(job.klass.aim_us * SETUP_AIMS))
         self._do(i.Start(job.request.request, best, max(1, timeout)))
         job.ran.append((server.entry, self.now))
@@ -237,6 +236,8 @@
 
     def _outcome(self, outcome: i.Outcome) -> None:
         server = self.servers.get(outcome.server)
+        if server:
+            server.coming.discard(outcome.request)
         if server and outcome.report:
             self._report(server, outcome.report)
         if outcome.request in self.connections:
@@ -278,6 +279,7 @@
         if event.request in self.jobs:
             self._stand(self.jobs.pop(event.request).request, event.server)
         if event.server in self.servers:
+            self.servers[event.server].coming.discard(event.request)
             self.servers[event.server].fails //= 2
             self.servers[event.server].errors = 0
 
@@ -496,18 +498,14 @@
         return min(1.0, self.s.start_capacity + (1 - self.s.start_capacity) * max(0.0, age))
 
     def _cold_allows(self, server: Server, job: Job) -> bool:
-        """Guards against pushing a cold server over: this node's part of what all may send it."""
+        """Guards against pushing a cold server over: this node's part of what all may have standing there."""
         coldness = self._coldness(server)
         if coldness >= 1:
             return True
-        rate = COLD_SAFETY * self.s.tip_multiple * coldness * self._full() / self.s.cold_us
-        rate /= self.s.fleet_size
-        if server.tokens_at == 0:  # randomised rounding: few nodes start with a whole token at hand
-            server.tokens, server.tokens_at = self.random.random(), self.now
-        most = max(1.0, rate * self.s.fall_us)
-        server.tokens = min(most, server.tokens + rate * (self.now - server.tokens_at))
-        server.tokens_at = self.now
-        return server.tokens >= min(self._cost(job), most)
+        works = [self.connections[r].work / self.mean_work if self.mean_work else 1.0 for r in server.open]
+        held = len(server.coming) + max(len(works), sum(works))  # a light one may grow
+        # Rounded at random: with a part below one connection, some nodes may send one and the others none.
+        return held + self._cost(job) <= LIMIT * coldness * self._full() / self.s.fleet_size + server.chance
 
     def _worth(self, klass: i.RequestClass, tenant: int) -> float:
         """Worth for each unit of work. A tenant's share is judged by this node's part of its quota."""
--- a/milletdeal/records.py
+++ b/milletdeal/records.py
@@ -20,8 +20,8 @@
     errors: int = 0  # plain errors in a row, since a connection last stood
     suspect_until: int = 0
     open: dict[int, None] = field(default_factory=dict)  # this node's standing connections
-    tokens: float = 0.0  # this node's part of the cold budget, in mean connections
-    tokens_at: int = 0  # 0: no budget opened yet
+    chance: float = 0.0  # in [0, 1): rounds this node's part of the cold budget up or down
+    coming: set[int] = field(default_factory=set)  # requests whose attempt is out here
     shed_until: int = 0  # it has dropped a connection not long before this
     hold_until: int = 0  # no further moves before this
     delay: float = 0.0  # message delay by the last note, in aims
