Find a vanished machine by a knock, and let those left be filled no further

Seen in the logs and the events of all 40 relays: a zone's boxes fall silent within a moment, and each visit waited for a message of its own (one in 2 s) and for 1.5 s more before it moved: "gone silent" from 8.2 to 10 s for a loss at about 6 s (Desk._look, SILENT_US). Ruled out: the list (told 4 s later still) and the module (it suspects at the first failed probe). The line at fault: Balancer._place reckons what all relays send with _part(), relays over all listed boxes, the lost ones too, so that it holds back half of what it should.

Change. core/quiet.py notes since when a box owes a reply with no word on any visit. After two message aims (200 ms at least) one new connection is tried, for as long as the settings allow a connect. Where it never comes up, all that stands there moves, and up to three more boxes of that zone that hold visits here are tried: each that has vanished leads on to others. A word that comes meanwhile, a refusal, or a box that opens means that it is there; one knock a second and box at most. The guard against herding counts only boxes that may be used.

--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -17,6 +17,8 @@
 from .duty import Duty, Word, step
 from .ports import BoxAsker, BoxCaller, Call, CarerSide, Decider, Ending, ListWatcher
 from .pulse import PULSE_US, Pulse
+from .quiet import LOOK_US as QUIET_LOOK_US
+from .quiet import Quiet
 from .shortfall import Cause, Reach, Shortfall
 from .tally import Tally
 from .visit import Attempt, Stage, Visit
@@ -64,6 +66,7 @@
         self.visits: dict[int, Visit] = {}
         self.numbers = count(1)
         self.boxes: dict[str, i.ServerState] = {}
+        self.zones: dict[str, int] = {}  # where each push box is
         self.asker: BoxAsker | None = None
         self.watcher: ListWatcher | None = None
         self.duty = Duty.STARTING
@@ -74,12 +77,14 @@
         self._heed(settings.classes, tells_delay)
         self.heard: dict[str, int] = {}  # when each push box last answered a message
         self.looked_us = clock()
+        self.quiet_look_us = 0  # when the next look for quiet push boxes is due; 0: none is set
         self.after(PULSE_US, self._tell_delays)
         self.after(LOOK_US, self._look)
 
     def _heed(self, classes: tuple[i.RequestClass, ...], tells_delay: bool) -> None:
         aims = [c.message_aim_us for c in classes if c.message_aim_us]
         self.pulse = Pulse(min(aims)) if aims and tells_delay else None
+        self.quiet = Quiet(classes)
         # SIGKILL may be counted by the settings of any time: the soonest holds.
         self.kill_us = min(self.kill_us, max(c.deadline_us for c in classes) + KILL_US)
 
@@ -172,14 +177,16 @@
     def listed(self, update: i.ListUpdate) -> None:
         """News of the box list."""
         if update.whole:
-            self.boxes = {}
+            self.boxes, self.zones = {}, {}
         for entry in update.entries:
             if entry.state is i.ServerState.DRAINING and self.boxes.get(entry.server) is not entry.state:
                 log.info("push box %s drains", entry.server)
             if entry.state is i.ServerState.GONE:
                 self.boxes.pop(entry.server, None)
+                self.quiet.forget(entry.server)
             else:
                 self.boxes[entry.server] = entry.state
+                self.zones[entry.server] = entry.zone
         self.put(update)
         self._say_ready()
 
@@ -445,6 +452,61 @@
         if self.pulse:
             self.pulse.add(box, visit, took_us)
 
+    def asked(self, box: str) -> None:
+        """A message that is owed a reply went to a push box."""
+        now = self.clock()
+        if self.quiet.asked(box, now) and not self.quiet_look_us:
+            self._look_at_quiet_later(now)
+
+    def _look_at_quiet_later(self, now: int) -> None:
+        self.quiet_look_us = now + QUIET_LOOK_US
+        self.after(QUIET_LOOK_US, self._look_at_quiet)
+
+    def _look_at_quiet(self) -> None:
+        """Knock at push boxes that owe replies and have said nothing since."""
+        now = self.clock()
+        late, self.quiet_look_us = now - self.quiet_look_us > QUIET_LOOK_US, 0
+        if self.quiet.owed:
+            self._look_at_quiet_later(now)
+        if late:  # guards against a hiccup of this relay: replies may have come that it has not read yet
+            return
+        for box in self.quiet.due(now):
+            self._knock(box)
+
+    def _knock(self, box: str) -> None:
+        if self.asker:
+            self.tally.add("knocks")
+            self.asker.knock(box, self.settings.connect_timeout_us)
+
+    def knocked(self, box: str, opened: bool) -> None:
+        """A quiet push box took a new connection in time, or did not: then its machine has vanished, and all that
+        stands there moves, before each visit finds that out by a message of its own."""
+        if opened or not self.quiet.vanished(box):
+            return
+        held = dict[str, list[Visit]]()
+        for visit in self.visits.values():
+            if visit.stage is Stage.STANDING and visit.attempt:
+                held.setdefault(visit.attempt.box, []).append(visit)
+        here = held.pop(box, [])
+        log.warning("push box %s owes replies and takes no connection; its %d visits move", box, len(here))
+        self.tally.add("boxes_vanished")
+        for visit in here:
+            self._leave_silent(visit, alone=False)
+        # Guards against finding out about a lost zone box by box, each when a carer's message is due.
+        near = [other for other in held if self.zones.get(other) == self.zones.get(box)]
+        for other in self.quiet.others(near, self.clock()):
+            self._knock(other)
+
+    def _leave_silent(self, visit: Visit, alone: bool) -> None:
+        """Move a visit off a push box that answers nothing; `alone`: it answers others."""
+        attempt = visit.attempt
+        assert attempt
+        self.tally.add("moved_from_silent")
+        self._over(visit)
+        visit.carer.move()
+        attempt.close(Ending.BROKEN)
+        self._tell_end(attempt, Shortfall(Reach.UP, Cause.CALLED_OFF if alone else Cause.SILENT), True)
+
     def _tell_delays(self) -> None:
         self.wheel.set(self.clock() + PULSE_US, self._tell_delays)
         for number, box, delay in self.pulse.look() if self.pulse else ():
@@ -469,12 +531,7 @@
                 alone = self.heard.get(attempt.box, 0) > attempt.asked[0]
                 log.warning("visit %d at push box %s has gone silent%s; it moves", visit.number, attempt.box,
                             ", alone" if alone else "")
-                self.tally.add("moved_from_silent")
-                self._over(visit)
-                visit.carer.move()
-                attempt.close(Ending.BROKEN)
-                cause = Cause.CALLED_OFF if alone else Cause.SILENT
-                self._tell_end(attempt, Shortfall(Reach.UP, cause), True)
+                self._leave_silent(visit, alone)
             elif now - max(attempt.heard_us, attempt.asked[-1] if attempt.asked else 0) > DEAD_LINE_US:
                 self.move(visit)
 
--- a/gradefront/core/ports.py
+++ b/gradefront/core/ports.py
@@ -68,11 +68,14 @@
 
 
 class BoxAsker(Protocol):
-    """Asks a push box for its load; the desk's `told_load` gets the answer."""
+    """Asks a push box for its load; the desk's `told_load` gets the answer. Knocks at one that says nothing."""
 
     def ask(self, box: str) -> None:
         """Ask once."""
 
+    def knock(self, box: str, patience_us: int) -> None:
+        """Open a new connection and close it; the desk's `knocked` hears whether it came up in time."""
+
 
 class ListWatcher(Protocol):
     """Watches the box list; the desk's `listed` and `list_lost` get the news."""
--- /dev/null
+++ b/gradefront/core/quiet.py
@@ -0,0 +1,52 @@
+"""Which push boxes owe replies and have said nothing since: the first sign of a machine that vanished."""
+
+from __future__ import annotations
+
+from milletdeal.interface import RequestClass
+
+LOOK_US = 100_000  # us: between two looks, while any push box owes a reply
+AIMS = 2  # longest message aims after which a reply that is owed is worth nothing, and a sign
+LEAST_US = 200_000  # us: and no sooner, so that a pause of a sound machine is none; also where no aim is told
+AGAIN_US = 1_000_000  # us: between two knocks at a push box that opens but goes on owing
+OTHERS = 3  # push boxes knocked at for each that vanished: each that has vanished too leads on to others
+
+
+class Quiet:
+    """By push box, since when a reply is owed with no word from it on any visit. At most one entry a push box."""
+
+    def __init__(self, classes: tuple[RequestClass, ...]) -> None:
+        self.patience_us = max(LEAST_US, AIMS * max(c.message_aim_us for c in classes))
+        self.owed: dict[str, int] = {}
+        self.knocked: dict[str, int] = {}  # when last
+
+    def asked(self, box: str, now: int) -> bool:
+        """A message went to the push box. Whether it is the first one that is owed an answer."""
+        return self.owed.setdefault(box, now) == now
+
+    def heard(self, box: str) -> None:
+        """A word came, on whatever visit: the machine is there."""
+        self.owed.pop(box, None)
+
+    def due(self, now: int) -> list[str]:
+        """Push boxes to knock at now: by a new connection, which a machine that vanished never takes."""
+        due = [box for box, since in self.owed.items()
+               if now - since >= self.patience_us and now - self.knocked.get(box, -AGAIN_US) >= AGAIN_US]
+        self.knocked |= dict.fromkeys(due, now)
+        return due
+
+    def others(self, boxes: list[str], now: int) -> list[str]:
+        """A few more push boxes to knock at, near one that vanished: they are taken to owe a word from now on."""
+        few = [box for box in boxes if now - self.knocked.get(box, -AGAIN_US) >= AGAIN_US][:OTHERS]
+        for box in few:
+            self.owed.setdefault(box, now)
+            self.knocked[box] = now
+        return few
+
+    def vanished(self, box: str) -> bool:
+        """Nobody opened. Whether the push box still owes: a word that came meanwhile says that it is there."""
+        return self.owed.pop(box, None) is not None
+
+    def forget(self, box: str) -> None:
+        """The push box is gone from the list, or what stood there has ended."""
+        self.owed.pop(box, None)
+        self.knocked.pop(box, None)
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -120,10 +120,12 @@
     def asked_box(self) -> None:
         """The carer's device sent a message that the push box is to answer."""
         self.asked.append(self.desk.clock())
+        self.desk.asked(self.box)
 
     def heard_box(self) -> None:
         """The push box sent a message."""
         self.heard_us = now = self.desk.clock()
+        self.desk.quiet.heard(self.box)
         if self.asked:
             self.desk.replied(self.box, self.visit.number, now - self.asked.popleft())
 
--- a/gradefront/net/asker.py
+++ b/gradefront/net/asker.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import ClientFactory
 
 from gradefront.core.desk import Desk
+from gradefront.core.wheel import Timer
 from milletdeal import interface as i
 
 from .base import Lines
@@ -126,6 +127,37 @@
             self.asker.desk.after(KEEP_US, self._idle)
 
 
+class Knock(ClientFactory):
+    """One new connection to a push box, to see whether its machine is there; closed as soon as that is known."""
+
+    noisy = False
+
+    def __init__(self, desk: Desk, box: str) -> None:
+        self.desk = desk
+        self.box = box
+        self.connector: Any = None
+        self.patience: Timer | None = None
+
+    def buildProtocol(self, addr: object) -> None:
+        """It came up. Twisted closes a connection without a protocol."""
+        self._told(True)
+
+    def clientConnectionFailed(self, connector: object, reason: object) -> None:
+        """Refused: a process that died resets what stood there, so that its visits end by themselves."""
+        self._told(True)
+
+    def late(self) -> None:
+        """It never came up in time."""
+        self._told(False)
+        self.connector.disconnect()
+
+    def _told(self, opened: bool) -> None:
+        if self.patience:
+            self.patience.cancel()
+            self.patience = None
+            self.desk.knocked(self.box, opened)
+
+
 class LoadAsker:
     """Asks all push boxes."""
 
@@ -136,6 +168,15 @@
         self.address = address
         self.asking: dict[str, BoxAsking] = {}
 
+    def knock(self, box: str, patience_us: int) -> None:
+        """See whether a push box still takes connections."""
+        where = self.address(box)
+        if where is None:  # gone from the list: its visits move by themselves
+            return
+        knock = Knock(self.desk, box)
+        knock.patience = self.desk.after(patience_us, knock.late)
+        knock.connector = self.reactor.connectTCP(*where, knock, timeout=None)
+
     def ask(self, box: str) -> None:
         """Ask one push box for its load."""
         where = self.address(box)
--- a/lab/quic.py
+++ b/lab/quic.py
@@ -7,6 +7,7 @@
 import ssl
 import time
 from collections import Counter
+from contextlib import suppress
 from functools import cache
 from typing import Any
 
@@ -25,7 +26,7 @@
 from gradefront.quic.initials import close_initial, open_initial
 from gradefront.quic.tokens import TokenKey, TokenMint
 
-from .town import soon
+from .town import BUSY_S, soon
 
 FORM = IdForm(0, 2, 9)
 KEY = bytes(range(16))
@@ -236,10 +237,16 @@
         self.reset: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
         self.heard = 0
         self.first_heard = 0.0
+        self.calm = asyncio.Event()
         self.wire: Any = None
 
     async def hop(self, fresh: bool = False) -> None:
         """Take a new source port, and with `fresh` a new connection id at the same time."""
+        if self.wire:
+            # What is out on the old path may be lost with it. Hop after hop that adds up, on both sides, to more than
+            # a push box may send to an address that it has not validated yet (RFC 9000 8.1): it would wait.
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.calm.wait(), BUSY_S)
         old = self.wire
         self.wire, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self, local_addr=("127.0.0.1", 0))
@@ -248,6 +255,11 @@
         if fresh:
             self.connection.change_connection_id()
 
+    def transmit(self) -> None:
+        """Also see whether all that was sent has been acknowledged."""
+        super().transmit()
+        (self.calm.clear if any(s.ack_eliciting_in_flight for s in self.connection._loss.spaces) else self.calm.set)()
+
     async def start(self) -> None:
         """Send the first Initial."""
         await self.hop()
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -200,6 +200,8 @@
         back = self.now < self.new_until and job.request.came_back
         asked = self.asked.add(self.now, not (back and job.rounds))
         blind = (RETURN if back else 1.0) * asked * BLIND_US / MEMORY_US * self._part() / self._full()
+        left = len(self.servers) - self.avoided(self.now)  # these alone share what all nodes send
+        blind *= len(self.servers) / max(1, left)
         blind *= len(job.candidates) / max(1, fit) * (self.s.reports is not i.Reports.NONE)  # few meet all
         if not best or self.random.random() * blind > LIMIT - self._load(self.servers[best]):
             self.bad.add(self.now, FULL_SAY)
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -55,9 +55,17 @@
         self.broken = False  # the module raises
         self.attempts: list[Attempt] = []
         self.legs: list[Leg] = []
+        self.knocks: list[str] = []
         self.desk = Desk(self, settings, lambda: self.now, lambda: None, class_names=("visit-checkin",))
+        self.desk.asker = self
         self.desk.listed(i.ListUpdate((i.ServerEntry("box-1"), i.ServerEntry("box-2"))))
 
+    def ask(self, box: str) -> None:
+        """As the one who asks push boxes; the module here asks for nothing."""
+
+    def knock(self, box: str, patience_us: int) -> None:
+        self.knocks.append(box)
+
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.events.append(event)
         if self.broken:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -177,6 +177,46 @@
     assert bench.outcomes(silent)[-1].result is i.Result.RESET and quiet.stage is Stage.STANDING
 
 
+def test_a_vanished_machine_is_found_by_a_knock_and_all_that_stands_there_moves_at_once() -> None:
+    """Guards against a lost zone that each visit finds out by itself, 1.5 s after a message of its own."""
+    bench = Bench()
+    bench.desk.listed(i.ListUpdate(tuple(
+        i.ServerEntry(f"box-{n}", zone=zone) for n, zone in enumerate((1, 1, 1, 1, 1, 1, 2)))))
+    carers = [bench.standing(f"box-{n % 7}")[1:] for n in range(14)]
+    carers[0][1].asked_box()
+    bench.wait(150_000)
+    assert not bench.knocks, "a pause of a sound machine is no sign"
+    bench.wait(200_000)
+    assert bench.knocks == ["box-0"], "one new connection, whatever stands there"
+    bench.desk.knocked("box-0", opened=False)
+    assert [c.told for c, _ in carers[::7]] == [["seat", "move"]] * 2
+    assert bench.knocks[1:] == ["box-1", "box-2", "box-3"], "a few more in that zone, and none elsewhere"
+    bench.desk.knocked("box-1", opened=True)
+    carers[2][1].heard_box()
+    bench.desk.knocked("box-2", opened=False)  # a word that came meanwhile says that it is there
+    bench.desk.knocked("box-3", opened=False)
+    bench.desk.turn()
+    assert [n for n, (c, _) in enumerate(carers) if "move" in c.told] == [0, 3, 7, 10]
+    assert bench.knocks[4:] == ["box-4", "box-5"], "each that has vanished leads on, none is asked twice"
+    silent = [e.server for e in bench.events if isinstance(e, i.Outcome) and e.result is i.Result.RESET]
+    assert silent == ["box-0", "box-0", "box-3", "box-3"] and bench.desk.tally.counts["boxes_vanished"] == 2
+
+
+def test_a_push_box_that_answers_or_opens_is_not_knocked_at_again_and_again() -> None:
+    bench = Bench()
+    _, carer, attempt = bench.standing()
+    for _ in range(20):  # answers within its aims
+        attempt.asked_box()
+        bench.wait(90_000)
+        attempt.heard_box()
+    assert not bench.knocks
+    attempt.asked_box()
+    for _ in range(9):  # it takes connections, so it is slow: one knock a second
+        bench.wait(100_000)
+        bench.desk.knocked("box-1", opened=True)
+    assert bench.knocks == ["box-1"] and carer.told == ["seat"]
+
+
 def test_one_connection_that_falls_silent_alone_tells_nothing_against_its_box() -> None:
     bench = Bench()
     _, other, sound = bench.standing()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -65,6 +65,20 @@
     assert starts < 12
 
 
+def test_those_left_after_a_lost_zone_are_not_filled_past_their_room_by_all_nodes_at_once() -> None:
+    """Guards against a guard that counts the lost servers among those which share what all nodes send."""
+    starts = 0
+    for seed in range(40):
+        b = node(8, seed, fleet_size=40, **PROBED)
+        for n in range(10):  # 50 a server, over all nodes
+            stand(b, 1_000 + n, f"s{n % 8}")
+        for n in range(4):
+            b.handle(1_000, i.ProbeResult(f"s{n}", i.Result.CONNECT_FAILED))
+        for n in range(5):  # half of what stood comes back
+            starts += len(of(place(b, 2_000 + n, n, {f"s{m}": 0.1 if m < 4 else 0.7 for m in range(8)}), i.Start))
+    assert starts < 100, "of 200 that come; four servers have room for 5 each"
+
+
 def test_errors_throttle_placements() -> None:
     """Guards against drowning a store that all servers share (incident i7fcf25)."""
     b, sent = node(5), 0
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -4,12 +4,16 @@
 
 import json
 from contextlib import suppress
+from typing import Any
+from unittest.mock import patch
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.testing import MemoryReactorClock
 
 from gradefront.config import Config, ConfigError, address, parse
+from gradefront.net.asker import LoadAsker
 from gradefront.net.boxlist import BoxList, ListWatch
 from gradefront.net.lines import BadLine, read_first, read_id, read_report
 from lab.town import settings
@@ -136,3 +140,24 @@
     watch.call.over("the connection ended")
     watch.watch()
     assert dials.dialled == [1, 2, 2] and bench.desk.tally.counts["list_errors"] == 1
+
+
+def test_a_knock_tells_once_whether_the_machine_took_a_connection_in_time() -> None:
+    heard = list[tuple[str, bool]]()
+    for end in ("up", "refused", "late", "late, then up"):
+        bench = Bench()
+        reactor: Any = MemoryReactorClock()  # type: ignore[no-untyped-call]
+        asker = LoadAsker(reactor, bench.desk, lambda _: ("127.0.0.1", 9))
+        with patch.object(bench.desk, "knocked", lambda box, opened, end=end: heard.append((end, opened))):
+            asker.knock("box-1", 150_000)
+            _, _, knock, _, _ = reactor.tcpClients[0]
+            if end == "up":
+                assert knock.buildProtocol(None) is None, "closed at once"
+            if end == "refused":
+                knock.clientConnectionFailed(None, None)
+            bench.wait(200_000)
+            if end == "late, then up":
+                knock.buildProtocol(None)
+    assert heard == [("up", True), ("refused", True), ("late", False), ("late, then up", False)]
+    LoadAsker(reactor, bench.desk, lambda _: None).knock("box-1", 150_000)
+    assert len(reactor.tcpClients) == 1, "nobody knocks at a box that is in no list"
