--- a/gradefront/net/boxlist.py
+++ b/gradefront/net/boxlist.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+from functools import partial
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory
@@ -21,6 +22,7 @@
 STATES = {"SERVING": i.ServerState.READY, "DRAINING": i.ServerState.DRAINING, "DELETED": i.ServerState.GONE}
 ANSWER_US = 3_500_000  # discovery fails a call that waited 3 s by itself
 SILENCE_US = 3_000_000  # an empty line comes every 2 s; told news stands after 6 s, so ask again well before
+LEAST_GRACE_US = 150_000  # of the told time after a drain, where it is shorter or not told
 LONGEST_OBJECT = 1 << 20  # bytes: a longer object ends the watch
 
 
@@ -168,7 +170,8 @@
         self.line: WatchLine | None = None
         self.ended = False
         self.connector: Any = None
-        self.silence: Timer = watch.desk.after(ANSWER_US, self._silent)
+        self.patience_us = watch.retry_us if watch.pushed else ANSWER_US
+        self.silence: Timer = self._wait(self.patience_us)
 
     def buildProtocol(self, addr: object) -> WatchLine:
         """The connection stands."""
@@ -184,11 +187,19 @@
         if self.ended:
             return
         self.silence.cancel()
-        self.silence = self.watch.desk.after(SILENCE_US, self._silent)
+        self.patience_us = SILENCE_US
+        self.silence = self._wait(self.patience_us)
 
-    def _silent(self) -> None:
+    def _wait(self, patience_us: int) -> Timer:
+        return self.watch.desk.after(patience_us, partial(self._silent, self.watch.desk.clock() + patience_us))
+
+    def _silent(self, due_us: int) -> None:
         """Guards against a watch cut off without a word: news told meanwhile would stand unheard."""
-        self.over("no sign of life")
+        if self.watch.desk.clock() - due_us > self.patience_us // 2:
+            # This relay was held up, and may not have read yet what came. Guards against ending each call unread.
+            self.silence = self._wait(self.patience_us)
+        else:
+            self.over("no sign of life")
 
     def heard(self, line: bytes) -> None:
         """One object."""
@@ -203,6 +214,7 @@
             return
         if not self.news:
             self.news = True
+            self.watch.failures = 0
             log.info("box list from %s:%d: revision %s, %s, %d lines", *self.where, told.get("revision"),
                      "whole" if told.get("complete") else "changes", len(told.get("members") or ()))
         self.watch.box_list.take(told)
@@ -212,7 +224,7 @@
         """End this call and tell the desk."""
         if not self.ended:
             self.close()
-            self.watch.desk.list_lost(why)
+            self.watch.lost(why)
 
     def close(self) -> None:
         """End this call without a word."""
@@ -225,7 +237,9 @@
 
 
 class ListWatch:
-    """The desk's port to discovery."""
+    """The desk's port to discovery. Where lists are asked for, the module says when to call, as every call costs a
+    service that all relays share. Where they are pushed, an agent on this machine has them, answers at no cost, and
+    what it has counts as told, watch or not: so this port itself keeps a watch open from the start on."""
 
     def __init__(self, reactor: Reactor, desk: Desk, box_list: BoxList, where: tuple[str, int]) -> None:
         self.reactor = reactor
@@ -233,6 +247,31 @@
         self.box_list = box_list
         self.where = where
         self.call: WatchCall | None = None
+        self.called_us = 0  # when the last call began
+        self.failures = 0  # calls in a row that brought nothing
+
+    @property
+    def pushed(self) -> bool:
+        """Whether the lists come from an agent unasked."""
+        return not self.desk.settings.ask_for_list
+
+    @property
+    def retry_us(self) -> int:
+        """Shortest time between the starts of two calls to the agent, and its time for an answer: a third of what
+        settings allow after a drain is told."""
+        return max(self.desk.settings.drain_grace_us, LEAST_GRACE_US) // 3
+
+    def lost(self, why: str) -> None:
+        """A call failed, or the watch ended."""
+        if not self.pushed:
+            self.desk.list_lost(why)
+            return
+        self.desk.tally.add("list_errors")
+        if not self.failures:  # one line for an outage, not one for each call
+            log.warning("the agent's watch is lost: %s; calling again", why)
+        self.failures += 1
+        # At once, but at a pace: an agent that refuses, or ends each call, is asked on until it is back.
+        self.desk.after(max(0, self.called_us + self.retry_us - self.desk.clock()), self.watch)
 
     def watch(self) -> None:
         """Ask for a watch, unless one is on: a retry that was set for a watch that has since been replaced
@@ -250,5 +289,6 @@
         self._call()
 
     def _call(self) -> None:
+        self.called_us = self.desk.clock()
         self.call = WatchCall(self)
         self.call.connector = self.reactor.connectTCP(*self.where, self.call, timeout=None)
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -62,6 +62,9 @@
         if config.socket_fd is not None:
             self.listener = inherited(config.socket_fd)
             desk.opens = self._adopt
+        # A list from before may send carers to what another process, or the agent, has long been told drains.
+        at_once = config.socket_fd is not None or self.list_watch.pushed
+        if at_once:
             desk.await_news()
         self.box_list.take(config.known, whole=True)
         caller = PlatformCaller(reactor, self.box_list.address)
@@ -78,8 +81,8 @@
         self.port: Any = None
         if config.socket_fd is None:
             self.port = reactor.listenTCP(config.listen[1], self.front, 512, config.listen[0])
-        else:
-            self.list_watch.watch()  # at once: the module's spread is against a whole fleet that starts
+        if at_once:  # the module's spread is against a whole fleet that starts and asks one service
+            self.list_watch.watch()
 
     def _adopt(self) -> None:
         """Take clients from the listener that the platform holds, beside the process that is there before."""
--- a/lab/town.py
+++ b/lab/town.py
@@ -50,6 +50,14 @@
         self.watches: list[asyncio.StreamWriter] = []
         self.asked = asyncio.Event()
         self.silent = False  # says nothing while nothing changes, as one that is cut off
+        self.held = False  # takes calls and answers none of them until released
+        self.called = asyncio.Event()
+        self.released = asyncio.Event()
+
+    def release(self) -> None:
+        """Answer the calls that wait, and all others."""
+        self.held = False
+        self.released.set()
 
     async def open(self) -> None:
         self.server = await asyncio.start_server(self._watch, "127.0.0.1", 0)
@@ -70,6 +78,9 @@
     async def _watch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
+            self.called.set()
+            if self.held:
+                await self.released.wait()
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self._chunk(writer, self.list())
             self._alive(writer)
@@ -231,13 +242,14 @@
 @asynccontextmanager
 async def program(folder: Path, discovery: Discovery, told: dict[str, Any],
                   quic: dict[str, Any] | None = None, admin: bool = False,
-                  listener: socket.socket | None = None, shared: Path | None = None) -> AsyncIterator[Program]:
+                  listener: socket.socket | None = None, shared: Path | None = None,
+                  known: dict[str, Any] | None = None) -> AsyncIterator[Program]:
     """Start the program; its ports are the system's choice. With a listener it inherits that; `shared` is the folder
-    that it has in common with other processes of its relay."""
+    that it has in common with other processes of its relay; `known` the list that it has from before."""
     if not discovery.serves:  # another process may be watching it already
         await discovery.open()
     config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
-              "limits": {"sockets": 512}, "known": discovery.list(), "settings": told}
+              "limits": {"sockets": 512}, "known": known or discovery.list(), "settings": told}
     if admin:
         config["admin"] = "127.0.0.1:0"
     (folder / "config.json").write_text(json.dumps(config))
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -4,6 +4,7 @@
 
 import json
 from contextlib import suppress
+from dataclasses import replace
 from typing import Any
 from unittest.mock import patch
 
@@ -19,7 +20,7 @@
 from lab.town import settings
 from milletdeal import interface as i
 
-from .helper import Bench
+from .helper import SETTINGS, Bench
 
 CONFIG: Config = parse({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f",
                         "settings": settings()}, {})
@@ -142,6 +143,28 @@
     assert dials.dialled == [1, 2, 2] and bench.desk.tally.counts["list_errors"] == 1
 
 
+def test_where_lists_are_pushed_the_watch_keeps_itself_open_well_within_the_told_time() -> None:
+    bench, dials = Bench(replace(SETTINGS, ask_for_list=False, drain_grace_us=300_000)), Dials()
+    watch = ListWatch(dials, bench.desk, BoxList(CONFIG, bench.desk), ("127.0.0.1", 1))  # type: ignore[arg-type]
+    watch.watch()
+    bench.wait(250_000)  # silent since the call: the agent had a third of the told time, twice
+    assert len(dials.dialled) == 3 and watch.call
+    watch.call.alive()  # a watch that is open owes an empty line every 2 s
+    bench.wait(2_900_000)
+    assert len(dials.dialled) == 3
+    watch.call.over("the connection ended")
+    bench.wait(10_000)
+    assert len(dials.dialled) == 4, "at once: what the agent has counts as told, watch or not"
+    for _ in range(5):
+        watch.call.over("refused")
+        bench.wait(104_000)
+    assert len(dials.dialled) == 9, "an agent that refuses is called again at a pace, a third of the told time"
+    bench.now += 500_000  # this relay is held up, and has not read what came meanwhile
+    bench.desk.turn()
+    assert len(dials.dialled) == 9
+    assert not any(isinstance(e, i.ListError) for e in bench.events), "the module has no part in it"
+
+
 def test_a_knock_tells_once_whether_the_machine_took_a_connection_in_time() -> None:
     heard = list[tuple[str, bool]]()
     for end in ("up", "refused", "late", "late, then up"):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -205,6 +205,32 @@
     asyncio.run(play())
 
 
+def test_pushed_lists_are_watched_from_the_start_and_a_list_from_before_serves_nobody(tmp_path: Path) -> None:
+    async def play() -> None:
+        discovery, old, new = Discovery(), PushBox(lambda _: "UP r-old"), PushBox(lambda _: "UP r-new")
+        discovery.add("old", await old.open())
+        discovery.add("new", await new.open())
+        known = json.loads(json.dumps(discovery.list()))
+        discovery.members["old"]["phase"] = "DRAINING"  # the agent has it before the process starts
+        discovery.held = True
+        async with program(tmp_path, discovery, {**settings(), "discovery": "push"}, known=known) as relay:
+            here = Town([old, new], discovery, relay)
+            await soon(discovery.called.wait())
+            assert await (await here.device()).ask("PING") == "ERR", "the agent has not spoken yet"
+            discovery.release()
+            await relay.line("serving")
+            for watch in discovery.watches:
+                watch.transport.abort()
+            await relay.line("lost")
+            await relay.line("box list from")
+            for _ in range(6):
+                device = await here.device()
+                device.open()
+                assert await device.line() == "UP r-new"
+            assert not old.first_lines
+    asyncio.run(play())
+
+
 def test_a_relay_without_sense_in_its_configuration_says_what_is_wrong(tmp_path: Path) -> None:
     async def play() -> None:
         discovery = Discovery()
