--- a/gradefront/cli/check.py
+++ b/gradefront/cli/check.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import json
 import os
 from pathlib import Path
 
 import click
 
 from gradefront.config import ConfigError, load
+from gradefront.fleet.switch import FILE as FLEET_FILE
+from gradefront.fleet.switch import FORBIDDEN, allowed
+from gradefront.fleet.switch import read as read_fleet
 from gradefront.quic.switch import FILE, read
 
 from . import NONSENSE
@@ -22,10 +26,12 @@
               help="What the platform tells the relay.")
 @click.option("--quic", type=click.Path(path_type=Path), envvar="GRADEFRONT_QUIC", default=FILE,
               show_default="deploy/quic.json", help="The second front's file.")
-def check(config: Path, quic: Path) -> int:
+@click.option("--fleet", type=click.Path(path_type=Path), envvar="GRADEFRONT_FLEET", default=FLEET_FILE,
+              show_default="deploy/fleet.json", help="The fleet's file.")
+def check(config: Path, quic: Path, fleet: Path) -> int:
     """Check all files of settings, whole. Every error names file, field and value; status 2 then.
 
-    The second front's file is checked even where the front is off."""
+    The second front's file is checked even where the front is off; the fleet's is, once it names keys."""
     bad: list[str] = []
     relay = None
     environment = {"LB_LISTEN": "127.0.0.1:0", **os.environ, "LB_CONFIG": str(config)}
@@ -45,6 +51,20 @@
                        f"{len(found.forms)} configurations of ids")
     except ConfigError as error:
         bad.append(str(error))
+    try:
+        text = read_fleet(fleet)
+        if text is None:
+            click.echo(f"{fleet.name}: there is none; the fleet stays off")
+        elif relay and not (text[1] or json.loads(text[0]).get("keys")):
+            click.echo(f"{fleet.name}: off, without keys")
+        elif relay:
+            from gradefront.fleet.settings import parse as parse_fleet
+            peers = parse_fleet(text[0], relay.name, fleet).peers
+            if text[1] and not allowed(relay):
+                raise ConfigError(f"{fleet.name}: {FORBIDDEN}")
+            click.echo(f"{fleet.name}: good; {'on' if text[1] else 'off'}, {len(peers)} peers")
+    except ConfigError as error:
+        bad.append(str(error))
     for line in bad:
         click.echo(f"gradefront: {line}", err=True)
     return NONSENSE if bad else 0
--- /dev/null
+++ b/gradefront/net/fleetport.py
@@ -0,0 +1,116 @@
+"""The fleet's datagrams on a UDP socket: a thin shell round `fleet.swim`."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from random import SystemRandom
+from typing import Any
+
+from twisted.internet.protocol import DatagramProtocol
+
+from gradefront.config import ConfigError, address
+from gradefront.core.desk import Desk
+from gradefront.fleet.members import Record, State
+from gradefront.fleet.settings import FleetConfig
+from gradefront.fleet.swim import Swim
+from gradefront.fleet.wire import Message, Refused, Sealer
+
+log = logging.getLogger("gradefront.fleet")
+
+TICKS = 4  # a pace
+TELL_US = 1_000_000  # between two log lines about datagrams that were refused
+MOST_NEWS = 20  # log lines of members' states a second; the rest is counted
+
+
+class FleetPort(DatagramProtocol):
+    """One relay's socket among its peers."""
+
+    noisy = False
+
+    def __init__(self, config: FleetConfig, desk: Desk) -> None:
+        self.config = config
+        self.desk = desk
+        self.sealer = Sealer(config.name, config.keys, config.newest)
+        self.told_us = self.news_us = self.untold = self.news = 0
+        self.swim: Swim | None = None
+        self.transport: Any
+
+    def startProtocol(self) -> None:
+        """The socket is bound."""
+        assert self.transport
+        host = self.transport.getHost()
+        own = Record(self.config.name, f"{self.config.listen[0]}:{host.port}", State.ALIVE, 1,
+                     SystemRandom().getrandbits(62) | 1)
+        peers = {name: f"{where[0]}:{where[1]}" for name, where in self.config.peers.items()}
+        self.swim = Swim(own, peers, self.config.pace_us, SystemRandom(), self.desk.clock())
+        log.info("fleet: %s at %s:%d, %d peers in the file", self.config.name, host.host, host.port, len(peers))
+        self._tick()
+
+    def _tick(self) -> None:
+        if self.swim and self.transport:
+            self._send(self.swim.tick(self.desk.clock()))
+            self.desk.after(self.config.pace_us // TICKS, self._tick)
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Guards the relay: what makes no sense is counted, and harms nobody."""
+        try:
+            message = self.sealer.open(datagram)
+        except Refused as error:
+            self.desk.tally.add(f"fleet_refused_{error}")
+            self._bad(str(error), addr)
+            return
+        try:
+            if self.swim:
+                self._send(self.swim.heard(message, self.desk.clock()))
+        except Exception:
+            log.exception("a peer's datagram failed")
+            self.desk.tally.add("exceptions")
+
+    def connectionRefused(self) -> None:
+        """A peer's port is closed; its probes will tell."""
+
+    def leave(self) -> None:
+        """A planned end: tell the peers."""
+        if self.swim and self.transport:
+            self._send(self.swim.leave(self.desk.clock()))
+
+    def levels(self) -> dict[str, int]:
+        """How many members are in each state, and whether this relay doubts itself."""
+        if not self.swim:
+            return {}
+        states = [m.record.state for m in self.swim.table.members.values()]
+        return {**{f"fleet_{s.name.lower()}": states.count(s) for s in State}, "fleet_doubts": int(self.swim.doubts)}
+
+    def _send(self, messages: Iterable[Message]) -> None:
+        assert self.swim and self.transport
+        for name, was, state in self.swim.news:
+            self._tell(name, was, state)
+        self.swim.news.clear()
+        if self.swim.yielded and self.untold >= 0:
+            self.untold = -1  # said once
+            log.error("fleet: another process holds the name %s and goes on with it; this one stays out",
+                      self.config.name)
+        for message in messages:
+            member = self.swim.table.members.get(message.to)
+            if member is None:
+                continue
+            try:
+                self.transport.write(self.sealer.seal(message), address(member.record.where, "where"))
+            except (OSError, ConfigError):  # a full buffer, or an address without sense: as a lost datagram
+                self.desk.tally.add("fleet_unsent")
+
+    def _tell(self, name: str, was: State, state: State) -> None:
+        self.desk.tally.add(f"fleet_news_{state.name.lower()}")
+        now = self.desk.clock()
+        if now - self.news_us >= TELL_US:
+            self.news_us, self.news = now, 0
+        self.news += 1
+        if self.news <= MOST_NEWS:  # a split of a large fleet would be a flood
+            log.info("fleet: %s is %s, was %s", name, state.name.lower(), was.name.lower())
+
+    def _bad(self, what: str, addr: tuple[str, int]) -> None:
+        now = self.desk.clock()
+        if now - self.told_us >= TELL_US:
+            log.warning("fleet: a datagram from %s:%d was refused: %s", *addr, what)
+            self.told_us = now
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -21,6 +21,8 @@
 from .config import Config, ConfigError, lacks, load
 from .core.classes import NoRoom
 from .core.desk import Desk
+from .fleet.switch import fleet_file
+from .fleet.switch import load as load_fleet
 from .net.asker import LoadAsker
 from .net.boxleg import PlatformCaller
 from .net.boxlist import BoxList, ListWatch
@@ -33,6 +35,8 @@
 from .state.handover import Giving, Taking, call_next
 
 if TYPE_CHECKING:
+    from .fleet.settings import FleetConfig
+    from .net.fleetport import FleetPort
     from .quic.config import QuicConfig
     from .quic.front import QuicFront
 
@@ -45,7 +49,8 @@
 class Relay:
     """One relay: the desk, the platform's front, and their way in and out of service."""
 
-    def __init__(self, config: Config, quic: QuicConfig | None, reactor: Reactor) -> None:
+    def __init__(self, config: Config, quic: QuicConfig | None, reactor: Reactor,
+                 fleet: FleetConfig | None = None) -> None:
         clock = Clock()
         self.config = config
         self.reactor = reactor
@@ -72,6 +77,14 @@
         if quic:  # imported only where it is on: its libraries cost a start time and memory
             from .quic.front import QuicFront
             self.quic = QuicFront(config, quic, desk, reactor)
+        self.fleet: FleetPort | None = None
+        if fleet:  # imported only where it is on, too
+            from .net.fleetport import FleetPort
+            self.fleet = FleetPort(fleet, desk)
+            try:
+                reactor.listenUDP(fleet.listen[1], self.fleet, fleet.listen[0])
+            except CannotListenError as error:
+                raise ConfigError(f"{fleet_file().name}: listen: {error}") from None
         self.door = None
         if config.admin:
             try:
@@ -113,6 +126,8 @@
         levels = {"connections_now": self.front.open, "visits_now": len(self.desk.visits)}
         if self.quic:
             levels |= self.quic.levels()
+        if self.fleet:
+            levels |= self.fleet.levels()
         log.info("counters %s", self.desk.tally.line(**levels))
 
     def reload(self) -> None:
@@ -178,6 +193,8 @@
         if self.stopping:
             return
         self.stopping = True
+        if self.fleet:
+            self.fleet.leave()
         self.reactor.callLater(0.15, self.reactor.stop)  # time for the last answers to leave
 
 
@@ -218,11 +235,12 @@
     try:
         config = load(os.environ)
         quic = load_quic(config, quic_file())
+        fleet = load_fleet(config, fleet_file())
     except ConfigError as error:
         print(f"gradefront: {error}", file=sys.stderr)
         return 2
     try:
-        relay = Relay(config, quic, reactor)
+        relay = Relay(config, quic, reactor, fleet)
     except (ConfigError, CannotListenError) as error:
         print(f"gradefront: {error}", file=sys.stderr)
         return 2
--- a/lab/town.py
+++ b/lab/town.py
@@ -243,17 +243,20 @@
 async def program(folder: Path, discovery: Discovery, told: dict[str, Any],
                   quic: dict[str, Any] | None = None, admin: bool = False,
                   listener: socket.socket | None = None, shared: Path | None = None,
-                  known: dict[str, Any] | None = None) -> AsyncIterator[Program]:
+                  known: dict[str, Any] | None = None, fleet: dict[str, Any] | None = None,
+                  name: str = "n0") -> AsyncIterator[Program]:
     """Start the program; its ports are the system's choice. With a listener it inherits that; `shared` is the folder
-    that it has in common with other processes of its relay; `known` the list that it has from before."""
+    that it has in common with other processes of its relay; `known` the list that it has from before;
+    `fleet` its file of the fleet."""
     if not discovery.serves:  # another process may be watching it already
         await discovery.open()
-    config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
+    config = {"name": name, "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
               "limits": {"sockets": 512}, "known": known or discovery.list(), "settings": told}
     if admin:
         config["admin"] = "127.0.0.1:0"
     (folder / "config.json").write_text(json.dumps(config))
     (folder / "quic.json").write_text(json.dumps(quic or {"on": False}))
+    (folder / "fleet.json").write_text(json.dumps(fleet or {"on": False}))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "gradefront", stderr=asyncio.subprocess.PIPE,
         cwd=Path(__file__).resolve().parent.parent,
@@ -261,6 +264,7 @@
         env={**({"TMPDIR": str(shared)} if shared else {}),
              **({"LB_SOCKET_FD": str(listener.fileno())} if listener else {}),
              "LB_CONFIG": str(folder / "config.json"), "GRADEFRONT_QUIC": str(folder / "quic.json"),
+             "GRADEFRONT_FLEET": str(folder / "fleet.json"),
              "PATH": "/usr/bin:/bin"})
     running = Program(process)
     try:
--- /dev/null
+++ b/tests/test_fleet_parts.py
@@ -0,0 +1,125 @@
+"""The fleet's table, datagrams and file. No sockets."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gradefront.config import ConfigError, parse
+from gradefront.fleet import members
+from gradefront.fleet.members import Record, State, Table
+from gradefront.fleet.settings import parse as parse_fleet
+from gradefront.fleet.switch import load
+from gradefront.fleet.wire import LARGEST, Message, Refused, Sealer, fill, told
+from lab.town import settings
+
+RECORDS = st.builds(Record, st.sampled_from("abc"), st.just("h:1"), st.sampled_from(list(State)), st.integers(1, 4),
+                    st.integers(1, 3))
+
+
+@given(st.lists(RECORDS, max_size=12), st.randoms())
+def test_the_same_records_in_any_order_give_the_same_table(told_: list[Record], random: Random) -> None:
+    def held(records: list[Record]) -> dict[str, tuple[int, int, State]]:
+        table = Table("me")
+        for name in "abc":  # known before: an unknown name's end is no news
+            table.take(Record(name, "h:1", State.JOINING, 0, 0), 0)
+        for record in records:
+            table.take(record, 1, direct=True)
+        return {n: (m.record.incarnation, m.record.boot, m.record.state) for n, m in table.members.items()}
+    shuffled = list(told_)
+    random.shuffle(shuffled)
+    assert held(told_) == held(shuffled)
+
+
+def test_a_forgotten_name_does_not_come_back_on_an_old_word() -> None:
+    table = Table("me")
+    alive = Record("a", "h:1", State.ALIVE, 3, 9)
+    table.take(alive, 0, direct=True)
+    table.take(Record("a", "h:1", State.DEAD, 3, 9), 1_000_000)
+    table.forget(2_000_000 + members.FORGET_US, frozenset())
+    assert "a" not in table.members
+    assert table.take(Record("a", "h:1", State.ALIVE, 3, 9, age_us=members.FRESH_US + 1), 70_000_000) is None
+    assert table.take(Record("a", "h:1", State.SUSPECT, 3, 9, age_us=members.FRESH_US + 1), 70_000_000) is None
+    assert table.refused == 2 and "a" not in table.members
+    member = table.take(alive, 70_000_000)
+    assert member and member.record.state is State.JOINING, "until it is heard itself"
+
+
+def test_a_full_table_makes_room_by_the_longest_gone_only() -> None:
+    table = Table("me")
+    for n in range(members.MOST_MEMBERS):
+        table.take(Record(f"m{n}", "h:1", State.ALIVE, 1, 1), n, direct=True)
+    assert table.take(Record("late", "h:1", State.ALIVE, 1, 1), 900, direct=True) is None and table.refused == 1
+    table.take(Record("m5", "h:1", State.DEAD, 1, 1), 901)
+    assert table.take(Record("late", "h:1", State.ALIVE, 1, 1), 902, direct=True)
+    assert "m5" not in table.members and len(table.members) == members.MOST_MEMBERS
+
+
+def message(number: int = 1, to: str = "b") -> Message:
+    records = fill([told(Record(f"{n:040}", "h" * 60, State.ALIVE, 1 << 60, 1 << 60, 1 << 60), 1 << 60)
+                    for n in range(99)])
+    return Message(sender="a", to=to, boot=1 << 60, number=number, kind="ping", digest=1 << 55, records=records)
+
+
+def test_a_datagram_counts_once_for_whom_it_is_and_fits_any_link() -> None:
+    ours, theirs = Sealer("a", {1: b"k" * 32}, 1), Sealer("b", {1: b"k" * 32}, 1)
+    datagram = ours.seal(message(2_000))
+    assert len(datagram) <= LARGEST and theirs.open(datagram) == message(2_000)
+    late = ours.seal(message(1_500))
+    assert theirs.open(late).number == 1_500
+    for again, why in ((datagram, "replayed"), (late, "replayed"), (ours.seal(message(5)), "replayed"),
+                       (ours.seal(message(2_001, to="c")), "not_for_me"), (b"", "nonsense"), (b"x" * 99, "nonsense"),
+                       (b"GF\x02" + datagram[3:], "other_version"), (b"GF\x01\x07" + datagram[4:], "bad_seal"),
+                       (datagram[:-1], "bad_seal"), (datagram + b"x" * LARGEST, "nonsense")):
+        with pytest.raises(Refused, match=why):
+            theirs.open(again)
+
+
+@given(st.binary(max_size=200))
+def test_nonsense_under_a_good_seal_is_refused(body: bytes) -> None:
+    sealer = Sealer("b", {1: b"k" * 32}, 1)
+    head = b"GF\x01\x01"
+    with pytest.raises(Refused):
+        sealer.open(head + sealer._mac(1, head + body) + body)
+
+
+def test_the_file_is_checked_whole_and_errors_name_file_field_and_value(tmp_path: Path) -> None:
+    path, key = tmp_path / "fleet.json", tmp_path / "key"
+    key.write_text("ab" * 32)
+    key.chmod(0o600)
+    good = {"on": True, "listen": "127.0.0.1:0", "peers": {"n0": "127.0.0.1:7", "n1": "127.0.0.1:8"},
+            "keys": [{"id": 3, "key_file": "key"}]}
+
+    def read(**changes: object) -> str:
+        try:
+            found = parse_fleet(json.dumps(good | changes).encode(), "n0", path)
+        except ConfigError as error:
+            return str(error)
+        return f"{sorted(found.peers)} {found.newest}"
+    assert read() == "['n1'] 3", "this relay is no peer of itself"
+    for changes, why in (({"listen": "x"}, "listen"), ({"peers": {"n1": "host:port"}}, "peers.n1"),
+                         ({"pace_ms": 1}, r"pace_ms"), ({"newest": 4}, "newest: 4"), ({"pace": 1}, "pace"),
+                         ({"keys": [{"id": 3, "key_file": "none"}]}, "key_file: 'none'"), ({"keys": []}, "newest"),
+                         ({"keys": [{"id": 3, "key_file": "key"}] * 2}, "twice")):
+        assert read(**changes).startswith("fleet.json: ") and why in read(**changes), read(**changes)
+    key.chmod(0o644)
+    assert "mode must be 600" in read()
+    key.chmod(0o600)
+    key.write_text("ab")
+    assert "has 1 octets" in read()
+
+
+def test_where_relays_may_not_talk_the_file_can_not_switch_the_fleet_on(tmp_path: Path) -> None:
+    path = tmp_path / "fleet.json"
+    config = parse({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings()}, {})
+    assert load(config, path) is None, "there is none"
+    path.write_text('{"on": false, "nonsense": 1}')
+    assert load(config, path) is None, "off: not even read whole"
+    path.write_text('{"on": true}')
+    with pytest.raises(ConfigError, match="fleet.json: on: true: .*permissions.peers"):
+        load(config, path)
