--- a/gradefront/cli/check.py
+++ b/gradefront/cli/check.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import os
 from pathlib import Path
 
@@ -11,8 +10,8 @@
 from gradefront.config import ConfigError, load
 from gradefront.fleet.switch import FILE as FLEET_FILE
 from gradefront.fleet.switch import FORBIDDEN, allowed
-from gradefront.fleet.switch import read as read_fleet
-from gradefront.quic.switch import FILE, read
+from gradefront.quic.switch import FILE
+from gradefront.settings.files import read_object
 
 from . import NONSENSE
 
@@ -41,7 +40,7 @@
     except ConfigError as error:
         bad.append(f"{config.name}: {error}")
     try:
-        told = read(quic)
+        told = read_object(quic)
         if told is None:
             click.echo(f"{quic.name}: there is none; the second front stays off")
         elif relay:
@@ -52,17 +51,17 @@
     except ConfigError as error:
         bad.append(str(error))
     try:
-        text = read_fleet(fleet)
-        if text is None:
+        told = read_object(fleet)
+        if told is None:
             click.echo(f"{fleet.name}: there is none; the fleet stays off")
-        elif relay and not (text[1] or json.loads(text[0]).get("keys")):
+        elif relay and not (told.get("on") or told.get("keys")):
             click.echo(f"{fleet.name}: off, without keys")
         elif relay:
             from gradefront.fleet.settings import parse as parse_fleet
-            peers = parse_fleet(text[0], relay.name, fleet).peers
-            if text[1] and not allowed(relay):
+            peers = parse_fleet(told, relay.name, fleet).peers
+            if told.get("on") and not allowed(relay):
                 raise ConfigError(f"{fleet.name}: {FORBIDDEN}")
-            click.echo(f"{fleet.name}: good; {'on' if text[1] else 'off'}, {len(peers)} peers")
+            click.echo(f"{fleet.name}: good; {'on' if told.get('on') else 'off'}, {len(peers)} peers")
     except ConfigError as error:
         bad.append(str(error))
     for line in bad:
--- a/gradefront/fleet/settings.py
+++ b/gradefront/fleet/settings.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-import os
-import stat
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
 from gradefront.config import ConfigError, address
+from gradefront.settings.files import secret
+from gradefront.settings.typed import checked
 
 KEY_OCTETS = 32
-KEY_FILE_MODE = 0o077  # nobody but the owner may read or write a file of keys
 
 Where = Annotated[str, Meta(min_length=3, max_length=100)]
 
@@ -49,42 +48,33 @@
     pace_us: int
 
 
-def parse(text: bytes, name: str, path: Path) -> FleetConfig:
+def parse(told: dict[str, Any], name: str, path: Path) -> FleetConfig:
     """The file's meaning for the relay of that name. Raises ConfigError that names file, field and value."""
     try:
-        told = msgspec.json.decode(text, type=FleetFile)
-        keys = {key.id: _secret(key, n, path.parent) for n, key in enumerate(told.keys)}
-        if len(keys) < len(told.keys):
+        file = checked(told, FleetFile)
+        keys = {key.id: _key(key, n, path.parent) for n, key in enumerate(file.keys)}
+        if len(keys) < len(file.keys):
             raise ValueError("keys: an id stands twice")
-        newest = told.newest if told.newest is not None else max(keys, default=-1)
+        newest = file.newest if file.newest is not None else max(keys, default=-1)
         if newest not in keys:
             raise ValueError(f"newest: {newest}: no key has this id")
         if not 1 <= len(name) <= 40:
             raise ValueError(f"the relay's name: {name!r}: must have 1 to 40 characters")
         peers = {}
-        for peer, where in told.peers.items():
+        for peer, where in file.peers.items():
             if not 1 <= len(peer) <= 40:
                 raise ValueError(f"peers: {peer!r}: a name has 1 to 40 characters")
             if peer != name:
                 peers[peer] = address(where, f"{path.name}: peers.{peer}")
-        return FleetConfig(name, address(told.listen, f"{path.name}: listen"), peers, keys, newest,
-                           told.pace_ms * 1000)
-    except (msgspec.DecodeError, ValueError) as error:
-        if isinstance(error, ConfigError):
-            raise
+        return FleetConfig(name, address(file.listen, f"{path.name}: listen"), peers, keys, newest,
+                           file.pace_ms * 1000)
+    except ValueError as error:
         raise ConfigError(f"{path.name}: {error}") from None
 
 
-def _secret(key: Key, n: int, folder: Path) -> bytes:
-    where = f"keys[{n}].key_file: '{key.key_file}'"
-    try:
-        with (folder / key.key_file).open("rb") as opened:
-            mode = os.fstat(opened.fileno()).st_mode
-            if not stat.S_ISREG(mode) or mode & KEY_FILE_MODE:
-                raise ValueError(f"{where}: others may read it; its mode must be 600")
-            secret = bytes.fromhex(opened.read(4_096).strip().decode("ascii"))
-    except OSError as error:
-        raise ValueError(f"{where}: {error.strerror}") from None
-    if len(secret) != KEY_OCTETS:
-        raise ValueError(f"{where}: has {len(secret)} octets, {KEY_OCTETS} are needed, as hex digits")
-    return secret
+def _key(key: Key, n: int, folder: Path) -> bytes:
+    found = secret("", key.key_file, 0, f"keys[{n}]", folder)
+    if len(found) != KEY_OCTETS:
+        raise ValueError(f"keys[{n}].key_file: '{key.key_file}': has {len(found)} octets, {KEY_OCTETS} are needed, "
+                         "as hex digits")
+    return found
--- a/gradefront/fleet/switch.py
+++ b/gradefront/fleet/switch.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import json
 import os
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 from gradefront.config import Config, ConfigError
+from gradefront.settings.files import read_object
 
 if TYPE_CHECKING:
     from .settings import FleetConfig
@@ -27,27 +27,13 @@
     return bool(permissions.get("peers"))
 
 
-def read(path: Path) -> tuple[bytes, bool] | None:
-    """The file's text, and whether it says on; None where there is no file. Raises ConfigError."""
-    try:
-        text = path.read_bytes()
-        told = json.loads(text)
-    except FileNotFoundError:
-        return None
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"{path.name}: {error}") from None
-    if not isinstance(told, dict):
-        raise ConfigError(f"{path.name}: not an object")
-    return text, bool(told.get("on"))
-
-
 def load(config: Config, path: Path) -> FleetConfig | None:
     """What the fleet runs on; None where there is no file or it is off. Raises ConfigError, also where the file says
     on and the platform doesn't let relays talk."""
-    told = read(path)
-    if told is None or not told[1]:
+    told = read_object(path)
+    if not told or not told.get("on"):
         return None
     if not allowed(config):
         raise ConfigError(f"{path.name}: {FORBIDDEN}")
     from .settings import parse
-    return parse(told[0], config.name, path)
+    return parse(told, config.name, path)
--- a/gradefront/quic/config.py
+++ b/gradefront/quic/config.py
@@ -6,21 +6,18 @@
 
 from __future__ import annotations
 
-import os
-import stat
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from gradefront.config import Address, Config, ConfigError, address
+from gradefront.settings.files import octets, secret
 
 from .ids import IdBook, IdForm
 from .switch import FILE
 from .tokens import TokenKey
 
-KEY_FILE_MODE = 0o077  # nobody but the owner may read or write a file of keys
-
 
 @dataclass(frozen=True)
 class QuicBox:
@@ -64,7 +61,9 @@
 
 def parse(told: dict[str, Any], config: Config, path: Path = FILE) -> QuicConfig:
     """The settings from the file's object; an error names file, field and value."""
-    from .settings import QuicFile, checked
+    from gradefront.settings.typed import checked
+
+    from .settings import QuicFile
     try:
         return _build(checked(told, QuicFile), config, path.parent)
     except (ValueError, ConfigError) as error:
@@ -75,8 +74,8 @@
     forms = _forms(file, folder)
     boxes = _boxes(file, forms)
     limits, prove = _limits(file), file.retry
-    keys = {key.sequence: TokenKey(_secret(key.key, key.key_file, 16, f"retry.keys[{n}]", folder),
-                                   _hex(key.iv, f"retry.keys[{n}].iv", 12))
+    keys = {key.sequence: TokenKey(secret(key.key, key.key_file, 16, f"retry.keys[{n}]", folder),
+                                   octets(key.iv, f"retry.keys[{n}].iv", 12))
             for n, key in enumerate(prove.keys)}
     if len(keys) < len(prove.keys):
         raise ValueError("retry.keys: two have the same sequence")
@@ -112,7 +111,7 @@
         return (IdForm(file.config_id, file.server_id_length, file.nonce_length, file.id_tells_length),)
     forms = []
     for n, one in enumerate(told):
-        key = _secret(one.key, one.key_file, 16, f"ids[{n}]", folder) if one.key or one.key_file else None
+        key = secret(one.key, one.key_file, 16, f"ids[{n}]", folder) if one.key or one.key_file else None
         try:
             forms.append(IdForm(one.config_id, one.server_id_length, one.nonce_length, one.tells_length, key))
         except ValueError as error:
@@ -125,7 +124,9 @@
 
 
 def _boxes(file: Any, forms: Iterable[IdForm]) -> dict[str, QuicBox]:
-    from .settings import Box, checked
+    from gradefront.settings.typed import checked
+
+    from .settings import Box
     lengths = {form.server_id_length for form in forms}
     boxes: dict[str, QuicBox] = {}
     owners: dict[bytes, str] = {}
@@ -136,7 +137,7 @@
             raise ValueError(f"boxes.{name}.server_id: missing")
         ids = []
         for text in texts:
-            server_id = _hex(text, f"boxes.{name}.server_id")
+            server_id = octets(text, f"boxes.{name}.server_id")
             if len(server_id) not in lengths:
                 expected = " or ".join(map(str, sorted(lengths)))
                 raise ValueError(f"boxes.{name}.server_id: '{text}' is not {expected} octets")
@@ -145,7 +146,7 @@
             owners[server_id] = name
             ids.append(server_id)
         boxes[name] = QuicBox(tuple(ids), address(box.address, f"boxes.{name}.address"),
-                              _hex(box.reset_key, f"boxes.{name}.reset_key"))
+                              octets(box.reset_key, f"boxes.{name}.reset_key"))
     return boxes
 
 
@@ -171,31 +172,3 @@
         address_burst=told.address_burst, network_rate=told.network_rate, network_burst=told.network_burst,
         unknown_rate=told.unknown_rate, refusal_rate=told.refusal_rate, cpu_share=told.cpu_share,
         most_waiting=file.most_waiting, allow=allow, deny=deny, prefixes=prefixes)
-
-
-def _hex(text: str, where: str, length: int = 0) -> bytes:
-    """Octets from hex. The text itself is not repeated where it might be a key."""
-    try:
-        octets = bytes.fromhex(text)
-    except ValueError:
-        raise ValueError(f"{where}: not hex digits") from None
-    if length and len(octets) != length:
-        raise ValueError(f"{where}: must be {length} octets, has {len(octets)}")
-    return octets
-
-
-def _secret(text: str, file: str, length: int, where: str, folder: Path) -> bytes:
-    """A key that is told here, or in a file that only its owner may read."""
-    if bool(text) is bool(file):
-        raise ValueError(f"{where}: needs one of key and key_file")
-    if text:
-        return _hex(text, f"{where}.key", length)
-    path = folder / file
-    try:
-        with path.open() as opened:
-            mode = os.fstat(opened.fileno()).st_mode
-            if not stat.S_ISREG(mode) or mode & KEY_FILE_MODE:
-                raise ValueError(f"{where}.key_file: '{file}': others may read it; its mode must be 600")
-            return _hex(opened.read(4_096).strip(), f"{where}.key_file: '{file}'", length)
-    except OSError as error:
-        raise ValueError(f"{where}.key_file: '{file}': {error.strerror}") from None
--- /dev/null
+++ b/gradefront/settings/files.py
@@ -0,0 +1,54 @@
+"""The operators' files, and the keys that they name."""
+
+from __future__ import annotations
+
+import json
+import os
+import stat
+from pathlib import Path
+from typing import Any
+
+from gradefront.config import ConfigError
+
+KEY_FILE_MODE = 0o077  # nobody but the owner may read or write a file of keys
+
+
+def read_object(path: Path) -> dict[str, Any] | None:
+    """The file's object; None where there is no file. Raises ConfigError."""
+    try:
+        told = json.loads(path.read_bytes())
+    except FileNotFoundError:
+        return None
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path.name}: {error}") from None
+    if not isinstance(told, dict):
+        raise ConfigError(f"{path.name}: not an object")
+    return told
+
+
+def octets(text: str, where: str, length: int = 0) -> bytes:
+    """Octets from hex. The text itself is not repeated where it might be a key."""
+    try:
+        octets = bytes.fromhex(text)
+    except ValueError:
+        raise ValueError(f"{where}: not hex digits") from None
+    if length and len(octets) != length:
+        raise ValueError(f"{where}: must be {length} octets, has {len(octets)}")
+    return octets
+
+
+def secret(text: str, file: str, length: int, where: str, folder: Path) -> bytes:
+    """A key that is told here, or in a file that only its owner may read."""
+    if bool(text) is bool(file):
+        raise ValueError(f"{where}: needs one of key and key_file")
+    if text:
+        return octets(text, f"{where}.key", length)
+    path = folder / file
+    try:
+        with path.open() as opened:
+            mode = os.fstat(opened.fileno()).st_mode
+            if not stat.S_ISREG(mode) or mode & KEY_FILE_MODE:
+                raise ValueError(f"{where}.key_file: '{file}': others may read it; its mode must be 600")
+            return octets(opened.read(4_096).strip(), f"{where}.key_file: '{file}'", length)
+    except OSError as error:
+        raise ValueError(f"{where}.key_file: '{file}': {error.strerror}") from None
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from pathlib import Path
 from random import Random
 
@@ -97,7 +96,7 @@
 
     def read(**changes: object) -> str:
         try:
-            found = parse_fleet(json.dumps(good | changes).encode(), "n0", path)
+            found = parse_fleet(good | changes, "n0", path)
         except ConfigError as error:
             return str(error)
         return f"{sorted(found.peers)} {found.newest}"
