--- a/gradefront/fleet/members.py
+++ b/gradefront/fleet/members.py
@@ -68,6 +68,7 @@
     def __init__(self, own: str) -> None:
         self.own = own
         self.members: dict[str, Member] = {}
+        self._digest: tuple[Record, int] | None = None  # of this relay's record; none once a record has changed
         self.refused = 0  # records for which there was no room, or whose word was too old
 
     def take(self, record: Record, now_us: int, direct: bool = False) -> Member | None:
@@ -81,7 +82,7 @@
             return None
         if record.state is not member.record.state:
             member.changed_us = now_us
-        member.record = record
+        member.record, self._digest = record, None
         return member
 
     def _enter(self, record: Record, now_us: int, direct: bool) -> Member | None:
@@ -92,6 +93,7 @@
             return None
         if record.state is State.ALIVE and not direct:
             record = replace(record, state=State.JOINING)  # until it is heard itself
+        self._digest = None
         member = self.members[record.name] = Member(record, now_us - record.age_us, now_us)
         return member
 
@@ -109,6 +111,7 @@
         for name in [n for n, m in self.members.items() if m.gone and now_us - m.changed_us > FORGET_US]:
             if name not in kept:
                 del self.members[name]
+                self._digest = None
 
     def present(self) -> list[Member]:
         """Those that are alive or suspect."""
@@ -116,7 +119,10 @@
 
     def digest(self, mine: Record) -> int:
         """A number that is the same where two relays know the same, suspicions apart."""
-        lines = [(m.record.name, m.record.incarnation, m.record.boot, m.gone) for m in self.members.values()
-                 if m.record.boot]
-        lines.append((mine.name, mine.incarnation, mine.boot, mine.state in GONE))
-        return int.from_bytes(blake2b(repr(sorted(lines)).encode(), digest_size=7).digest(), "big")
+        if self._digest is None or self._digest[0] != mine:
+            lines = [(m.record.name, m.record.incarnation, m.record.boot, m.gone) for m in self.members.values()
+                     if m.record.boot]
+            lines.append((mine.name, mine.incarnation, mine.boot, mine.state in GONE))
+            packed = blake2b(repr(sorted(lines)).encode(), digest_size=7).digest()
+            self._digest = mine, int.from_bytes(packed, "big")
+        return self._digest[1]
--- a/gradefront/fleet/swim.py
+++ b/gradefront/fleet/swim.py
@@ -1,6 +1,6 @@
 """Who is there: SWIM's probing and gossip, with Lifeguard's self-doubt, as a state machine without I/O.
 
-The owner calls `tick` about four times a pace, `heard` for each message, and sends what both return. Times are
+The owner calls `tick` TICKS times a pace, `heard` for each message, and sends what both return. Times are
 microseconds on a monotonic clock of the owner; nothing here compares clocks of two relays.
 
 Two points beyond the published forms. A relay that hears from fewer than half of those that it should hear from
@@ -29,6 +29,7 @@
 MOST_HEALTH = 8  # steps of self-doubt, each makes this relay's patience a pace's share longer
 HEARD = 8.0  # paces: whoever spoke to this relay within that is heard
 SENT = 3.0  # times log2 of the members: how often a record is passed on
+TICKS = 4  # a pace: how often the owner calls `tick`
 GONE_EVERY = 4  # paces: one of the gone is tried, so that a healed split is found by both sides
 TABLE_EVERY = 4.0  # paces between two whole tables, to all others together
 HELD_UP = 3.0  # paces without a tick: this relay was paused, and what it waited for says nothing of others
@@ -148,7 +149,7 @@
             self.random.shuffle(self.order)
             # Guards against a newcomer that waits for a whole round: who has never been heard comes first.
             self.order.sort(key=lambda n: self.table.members[n].record.state is State.JOINING)
-        gone = [m for m in self.table.members.values() if m.gone and m.record.state is State.DEAD]
+        gone = [m for m in self.table.members.values() if m.record.state is State.DEAD]
         if gone and self.paces % GONE_EVERY == 0:
             member = self.random.choice(gone)
             out.append(self._make("ping", member.record.name, now_us))  # no answer says nothing new
@@ -242,10 +243,11 @@
     # ---- messages
 
     def _make(self, kind: str, to: str, now_us: int, ask: int = 0, about: str = "",
-              against: bool = False) -> Message:
+              against: bool = False, records: tuple[Told, ...] | None = None) -> Message:
         self.number += 1
         return Message(sender=self.me.name, to=to, boot=self.me.boot, number=self.number, kind=kind, ask=ask,
-                       about=about, digest=self.table.digest(self.me), records=self._gossip(to, now_us, against))
+                       about=about, digest=self.table.digest(self.me),
+                       records=self._gossip(to, now_us, against) if records is None else records)
 
     def _told(self, member: Member, now_us: int) -> Told:
         return told(member.record, now_us - member.spoke_us)
@@ -273,9 +275,7 @@
         while left:
             part = fill([told(self.me, 0), *left])
             left = left[len(part) - 1:]
-            self.number += 1
-            out.append(Message(sender=self.me.name, to=to, boot=self.me.boot, number=self.number, kind="table",
-                               records=part))
+            out.append(self._make("table", to, now_us, records=part))
         return out
 
 
--- a/gradefront/net/fleetport.py
+++ b/gradefront/net/fleetport.py
@@ -13,12 +13,11 @@
 from gradefront.core.desk import Desk
 from gradefront.fleet.members import Record, State
 from gradefront.fleet.settings import FleetConfig
-from gradefront.fleet.swim import Swim
+from gradefront.fleet.swim import TICKS, Swim
 from gradefront.fleet.wire import Message, Refused, Sealer
 
 log = logging.getLogger("gradefront.fleet")
 
-TICKS = 4  # a pace
 TELL_US = 1_000_000  # between two log lines about datagrams that were refused
 MOST_NEWS = 20  # log lines of members' states a second; the rest is counted
 
@@ -32,7 +31,8 @@
         self.config = config
         self.desk = desk
         self.sealer = Sealer(config.name, config.keys, config.newest)
-        self.told_us = self.news_us = self.untold = self.news = 0
+        self.told_us = self.news_us = self.news = 0
+        self.told_yielded = False
         self.swim: Swim | None = None
         self.transport: Any
 
@@ -87,8 +87,8 @@
         for name, was, state in self.swim.news:
             self._tell(name, was, state)
         self.swim.news.clear()
-        if self.swim.yielded and self.untold >= 0:
-            self.untold = -1  # said once
+        if self.swim.yielded and not self.told_yielded:
+            self.told_yielded = True
             log.error("fleet: another process holds the name %s and goes on with it; this one stays out",
                       self.config.name)
         for message in messages:
--- a/lab/fleet/world.py
+++ b/lab/fleet/world.py
@@ -15,11 +15,10 @@
 from typing import Any
 
 from gradefront.fleet.members import GONE, Record, State
-from gradefront.fleet.swim import Swim
+from gradefront.fleet.swim import TICKS, Swim
 from gradefront.fleet.wire import Message, Refused, Sealer
 
 S = 1_000_000
-TICKS = 4  # a pace
 
 
 @dataclass(frozen=True)
@@ -40,7 +39,6 @@
     name: str
     swim: Swim
     sealer: Sealer
-    since_us: int
     up: bool = True
     paused: bool = False
     waiting: list[bytes] = field(default_factory=list)  # what its socket holds while it is paused
@@ -62,7 +60,7 @@
         self.twins: list[Relay] = []  # second processes of a name
         self.cut: set[tuple[str, str]] = set()  # directed
         self.history: list[tuple[int, str, str, State, State]] = []  # when, who says, of whom, before, now
-        self.truth: dict[str, tuple[bool, int]] = {}  # whether it runs, since when
+        self.truth: dict[str, bool] = {}  # whether it runs
         self.sent: Counter[str] = Counter()  # bytes
         self.names = [f"n{n}" for n in range(relays)]
         for name in self.names:
@@ -94,12 +92,12 @@
         own = Record(name, f"{name}:1", State.ALIVE, 1, self.random.getrandbits(62) | 1)
         peers = {n: f"{n}:1" for n in self.names if n != name}
         relay = Relay(name, Swim(own, peers, self.pace_us, Random(self.random.getrandbits(32)), self.now),
-                      Sealer(name, {1: self.key}, 1), self.now)
+                      Sealer(name, {1: self.key}, 1))
         if twin:
             self.twins.append(relay)
         else:
             self.relays[name] = relay
-            self.truth[name] = True, self.now
+            self.truth[name] = True
         self.at(self.now + self.random.randrange(self.pace_us), lambda: self._tick(relay))
         return relay
 
@@ -107,7 +105,7 @@
         """End processes without a word."""
         for name in [names] if isinstance(names, str) else names:
             self.relays[name].up = False
-            self.truth[name] = False, self.now
+            self.truth[name] = False
 
     def pause(self, name: str) -> None:
         """As SIGSTOP."""
@@ -191,7 +189,7 @@
         found = []
         for relay in self.running():
             held = {n: m.record.state for n, m in relay.swim.table.members.items()}
-            for name, (runs, _) in self.truth.items():
+            for name, runs in self.truth.items():
                 state = held.get(name, State.JOINING)
                 right = state is State.ALIVE if runs else state in (*GONE, State.JOINING)
                 if name != relay.name and not right:
@@ -208,4 +206,4 @@
     def falsely_dead(self) -> list[tuple[int, str, str]]:
         """Deaths that were told of a process that ran."""
         return [(when, who, whom) for when, who, whom, _, state in self.history
-                if state in GONE and self.truth[whom][0]]
+                if state in GONE and self.truth[whom]]
