--- a/gradefront/fleet/settings.py
+++ b/gradefront/fleet/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from ipaddress import ip_address
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -60,13 +61,16 @@
             raise ValueError(f"newest: {newest}: no key has this id")
         if not 1 <= len(name) <= 40:
             raise ValueError(f"the relay's name: {name!r}: must have 1 to 40 characters")
+        listen = _numbers(file.listen, f"{path.name}: listen")
         peers = {}
         for peer, where in file.peers.items():
             if not 1 <= len(peer) <= 40:
                 raise ValueError(f"peers: {peer!r}: a name has 1 to 40 characters")
             if peer != name:
-                peers[peer] = address(where, f"{path.name}: peers.{peer}")
-        return FleetConfig(name, address(file.listen, f"{path.name}: listen"), peers, keys, newest,
+                peers[peer] = _numbers(where, f"{path.name}: peers.{peer}")
+                if (":" in peers[peer][0]) is not (":" in listen[0]):
+                    raise ValueError(f"peers.{peer}: '{where}': not of the same kind of address as listen")
+        return FleetConfig(name, listen, peers, keys, newest,
                            file.pace_ms * 1000)
     except ValueError as error:
         raise ConfigError(f"{path.name}: {error}") from None
@@ -78,3 +82,13 @@
         raise ValueError(f"keys[{n}].key_file: '{key.key_file}': has {len(found)} octets, {KEY_OCTETS} are needed, "
                          "as hex digits")
     return found
+
+
+def _numbers(text: str, where: str) -> tuple[str, int]:
+    """An address of numbers. Guards against a name: a socket for datagrams takes none, and nothing looks names up."""
+    host, port = address(text, where)
+    try:
+        ip_address(host)
+    except ValueError:
+        raise ConfigError(f"{where}: '{text}': an address of numbers is needed, no name") from None
+    return host, port
--- a/gradefront/fleet/wire.py
+++ b/gradefront/fleet/wire.py
@@ -26,7 +26,7 @@
 LARGEST = 1_200  # bytes of a datagram: passes any link unbroken
 RECORDS = 32  # records in one datagram, at most; and by their size:
 ROOM = 900  # bytes for records, of LARGEST
-NUMBERS = 30  # bytes of a record's numbers, at most
+NUMBERS = 42  # bytes of a record beside its name and address, at most: four numbers of 9, a state, three lengths
 WINDOW = 1_024  # numbers behind the highest within which a late datagram is still taken
 MOST_BOOTS = 512  # boots whose numbers are remembered; the longest unheard makes room
 
--- a/gradefront/net/fleetport.py
+++ b/gradefront/net/fleetport.py
@@ -49,8 +49,8 @@
 
     def _tick(self) -> None:
         if self.swim and self.transport:
+            self.desk.after(self.config.pace_us // TICKS, self._tick)  # first: nothing that fails here ends the ticks
             self._send(self.swim.tick(self.desk.clock()))
-            self.desk.after(self.config.pace_us // TICKS, self._tick)
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Guards the relay: what makes no sense is counted, and harms nobody."""
@@ -97,7 +97,7 @@
                 continue
             try:
                 self.transport.write(self.sealer.seal(message), address(member.record.where, "where"))
-            except (OSError, ConfigError):  # a full buffer, or an address without sense: as a lost datagram
+            except (OSError, ValueError, ConfigError):  # a full buffer, or a peer's address is none: as if lost
                 self.desk.tally.add("fleet_unsent")
 
     def _tell(self, name: str, was: State, state: State) -> None:
--- a/tests/test_fleet_parts.py
+++ b/tests/test_fleet_parts.py
@@ -8,15 +8,21 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from twisted.internet.address import IPv4Address
+from twisted.internet.error import InvalidAddressError
 
 from gradefront.config import ConfigError, parse
 from gradefront.fleet import members
 from gradefront.fleet.members import Record, State, Table
+from gradefront.fleet.settings import FleetConfig
 from gradefront.fleet.settings import parse as parse_fleet
 from gradefront.fleet.switch import load
 from gradefront.fleet.wire import LARGEST, Message, Refused, Sealer, fill, told
+from gradefront.net.fleetport import FleetPort
 from lab.town import settings
 
+from .helper import Bench
+
 RECORDS = st.builds(Record, st.sampled_from("abc"), st.just("h:1"), st.sampled_from(list(State)), st.integers(1, 4),
                     st.integers(1, 3))
 
@@ -79,6 +85,40 @@
             theirs.open(again)
 
 
+def test_many_records_of_short_names_fit_any_link_too() -> None:
+    short = fill([told(Record(f"{n}", "h:1", State.ALIVE, 1 << 60, 1 << 60, 1 << 60), 1 << 60) for n in range(99)])
+    longest = Message(sender="a" * 40, to="b" * 40, boot=1 << 60, number=1 << 60, kind="table", ask=1 << 60,
+                      about="c" * 40, digest=1 << 55, records=short)
+    assert len(Sealer("a" * 40, {1: b"k" * 32}, 1).seal(longest)) <= LARGEST
+
+
+class Wire:
+    """A transport that takes no names, as Twisted's for datagrams."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, int]] = []
+
+    def getHost(self) -> IPv4Address:
+        return IPv4Address("UDP", "127.0.0.1", 7946)
+
+    def write(self, datagram: bytes, where: tuple[str, int]) -> None:
+        if not where[0][0].isdigit():
+            raise InvalidAddressError(where[0], "no names")  # type: ignore[no-untyped-call]
+        self.sent.append(where)
+
+
+def test_a_peer_that_tells_a_name_for_its_address_does_not_end_the_relays_ticks() -> None:
+    bench, wire = Bench(), Wire()
+    port = FleetPort(FleetConfig("n0", ("127.0.0.1", 0), {"n1": ("127.0.0.1", 9)}, {1: b"k" * 32}, 1, 200_000),
+                     bench.desk)
+    port.transport = wire
+    port.startProtocol()
+    assert port.swim
+    port.swim.table.take(Record("n2", "relay-2:9", State.ALIVE, 1, 5), bench.now, direct=True)
+    bench.wait(3_000_000)
+    assert bench.desk.tally.counts["fleet_unsent"] >= 3 and wire.sent.count(("127.0.0.1", 9)) >= 3
+
+
 @given(st.binary(max_size=200))
 def test_nonsense_under_a_good_seal_is_refused(body: bytes) -> None:
     sealer = Sealer("b", {1: b"k" * 32}, 1)
@@ -102,6 +142,9 @@
         return f"{sorted(found.peers)} {found.newest}"
     assert read() == "['n1'] 3", "this relay is no peer of itself"
     for changes, why in (({"listen": "x"}, "listen"), ({"peers": {"n1": "host:port"}}, "peers.n1"),
+                         ({"listen": "relay-0:7"}, "listen: 'relay-0:7'"),
+                         ({"peers": {"n1": "relay-1:7"}}, "peers.n1: 'relay-1:7'"),
+                         ({"peers": {"n1": "[::1]:7"}}, "same kind"),
                          ({"pace_ms": 1}, r"pace_ms"), ({"newest": 4}, "newest: 4"), ({"pace": 1}, "pace"),
                          ({"keys": [{"id": 3, "key_file": "none"}]}, "key_file: 'none'"), ({"keys": []}, "newest"),
                          ({"keys": [{"id": 3, "key_file": "key"}] * 2}, "twice")):
