Split the desk into dispatch, lifecycle, liveness and visits from before

Need: desk.py had 629 lines and made a circle with ports and visit; the mends that come touch all of it. No behaviour changes; a relay may be given its clock, for tests.

--- a/gradefront/core/ports.py
+++ b/gradefront/core/ports.py
@@ -4,13 +4,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from milletdeal.interface import Action, Event
 
-if TYPE_CHECKING:
-    from .visit import Attempt
-
 
 class Ending(Enum):
     """How one side of a visit ended, so that the other can be ended in the same way."""
@@ -60,13 +57,6 @@
         """The push box ended a visit that stood."""
 
 
-class BoxCaller(Protocol):
-    """Reaches push boxes for one front."""
-
-    def call(self, attempt: Attempt, parcel: object) -> BoxLeg:
-        """Begin the attempt; how it goes is told to `attempt`."""
-
-
 class BoxAsker(Protocol):
     """Asks a push box for its load; the desk's `told_load` gets the answer. Knocks at one that says nothing."""
 
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -3,17 +3,63 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from enum import Enum
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 from milletdeal.interface import LoadReport, Repeat, Settings
 
-from .ports import BoxCaller, BoxLeg, Call, CarerSide, Ending
+from .ports import BoxLeg, Call, CarerSide, Ending
 from .shortfall import Cause, Reach, Shortfall
 from .wheel import Timer
 
-if TYPE_CHECKING:
-    from .desk import Desk
+
+class Liveness(Protocol):
+    """Whom an attempt tells what it hears."""
+
+    def asked(self, box: str) -> None:
+        """A message that is owed a reply went to a push box."""
+
+    def spoke(self, box: str) -> None:
+        """A push box sent a message."""
+
+    def replied(self, box: str, visit: int, took_us: int) -> None:
+        """A message came back from a push box."""
+
+
+class Owner(Protocol):
+    """Whom an attempt tells how far it came."""
+
+    clock: Callable[[], int]
+
+    @property
+    def liveness(self) -> Liveness:
+        """Whom it tells what it hears."""
+
+    def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
+        """Run `then` later."""
+
+    def serves(self, box: str) -> bool:
+        """Whether new work may go to a push box."""
+
+    def came(self, attempt: Attempt) -> None:
+        """It came further."""
+
+    def stands(self, attempt: Attempt, receipt: object) -> None:
+        """A push box took the visit."""
+
+    def ends(self, attempt: Attempt, shortfall: Shortfall, how: Ending) -> None:
+        """It ended at the push box's side."""
+
+    def told_visit_load(self, attempt: Attempt, load: float) -> None:
+        """The push box told the visit's load."""
+
+
+class BoxCaller(Protocol):
+    """Reaches push boxes for one front."""
+
+    def call(self, attempt: Attempt, parcel: object) -> BoxLeg:
+        """Begin the attempt; how it goes is told to `attempt`."""
 
 
 class Stage(Enum):
@@ -77,7 +123,7 @@
     __slots__ = ("desk", "visit", "number", "box", "reach", "began_us", "until_us", "timer", "leg", "over",
                  "asked", "heard_us", "report", "load")
 
-    def __init__(self, desk: Desk, visit: Visit, box: str, until_us: int) -> None:
+    def __init__(self, desk: Owner, visit: Visit, box: str, until_us: int) -> None:
         self.desk = desk
         self.visit = visit
         self.number = visit.attempts
@@ -120,14 +166,14 @@
     def asked_box(self) -> None:
         """The carer's device sent a message that the push box is to answer."""
         self.asked.append(self.desk.clock())
-        self.desk.asked(self.box)
+        self.desk.liveness.asked(self.box)
 
     def heard_box(self) -> None:
         """The push box sent a message."""
         self.heard_us = now = self.desk.clock()
-        self.desk.quiet.heard(self.box)
+        self.desk.liveness.spoke(self.box)
         if self.asked:
-            self.desk.replied(self.box, self.visit.number, now - self.asked.popleft())
+            self.desk.liveness.replied(self.box, self.visit.number, now - self.asked.popleft())
 
     def alive(self) -> None:
         """Something passed, either way, on a visit whose messages the front can't tell apart."""
--- a/gradefront/net/asker.py
+++ b/gradefront/net/asker.py
@@ -155,7 +155,7 @@
         if self.patience:
             self.patience.cancel()
             self.patience = None
-            self.desk.knocked(self.box, opened)
+            self.desk.liveness.knocked(self.box, opened)
 
 
 class LoadAsker:
--- a/gradefront/net/base.py
+++ b/gradefront/net/base.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Any, cast
+from collections.abc import Callable
+from typing import Any, Protocol, cast
 
 from twisted.internet.error import ConnectionDone
 from twisted.protocols.basic import LineReceiver
 
-from gradefront.core.desk import Desk
 from gradefront.core.ports import Ending
 from gradefront.core.wheel import Timer
 
@@ -16,6 +16,13 @@
 FLUSH_US = 2_000_000  # after the last line: how long a slow peer may take to read it
 
 
+class Later(Protocol):
+    """Runs things later."""
+
+    def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
+        """Run `then` at the first tick after the delay."""
+
+
 class Lines(LineReceiver):
     """Lines that end with CRLF and are at most 4 KiB long."""
 
@@ -31,7 +38,7 @@
         """Send a line."""
         self.wire.write(line + b"\r\n")
 
-    def finish(self, desk: Desk) -> Timer:
+    def finish(self, desk: Later) -> Timer:
         """End once all that was said has left. Guards against a peer that no longer reads: the timer cuts it off."""
         transport = self.wire
         transport.loseConnection()
--- a/gradefront/net/boxlist.py
+++ b/gradefront/net/boxlist.py
@@ -218,7 +218,7 @@
             log.info("box list from %s:%d: revision %s, %s, %d lines", *self.where, told.get("revision"),
                      "whole" if told.get("complete") else "changes", len(told.get("members") or ()))
         self.watch.box_list.take(told)
-        self.watch.desk.has_news()
+        self.watch.desk.lifecycle.has_news()
 
     def over(self, why: str) -> None:
         """End this call and tell the desk."""
--- a/gradefront/net/front.py
+++ b/gradefront/net/front.py
@@ -13,8 +13,8 @@
 
 from gradefront.config import Config
 from gradefront.core.desk import Desk
-from gradefront.core.ports import BoxCaller, BoxLeg, Ending
-from gradefront.core.visit import Visit
+from gradefront.core.ports import BoxLeg, Ending
+from gradefront.core.visit import BoxCaller, Visit
 
 from .base import Lines, ending
 from .boxleg import PlatformLeg
@@ -75,7 +75,7 @@
             self.front.desk.turn_away(self.visit)
         elif line == b"PING" and self.pings < MOST_PINGS:
             self.pings += 1
-            self.say(b"PONG" if self.front.desk.takes_clients else b"ERR")
+            self.say(b"PONG" if self.front.desk.lifecycle.takes_clients else b"ERR")
         else:
             self._first(line)
 
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -50,8 +50,8 @@
     """One relay: the desk, the platform's front, and their way in and out of service."""
 
     def __init__(self, config: Config, quic: QuicConfig | None, reactor: Reactor,
-                 fleet: FleetConfig | None = None) -> None:
-        clock = Clock()
+                 fleet: FleetConfig | None = None, clock: Callable[[], int] | None = None) -> None:
+        clock = clock or Clock()
         self.config = config
         self.reactor = reactor
         self.quic: QuicFront | None = None
@@ -66,11 +66,11 @@
         desk.asker = LoadAsker(reactor, desk, self.box_list.address)
         if config.socket_fd is not None:
             self.listener = inherited(config.socket_fd)
-            desk.opens = self._adopt
+            desk.lifecycle.opens = self._adopt
         # A list from before may send carers to what another process, or the agent, has long been told drains.
         at_once = config.socket_fd is not None or self.list_watch.pushed
         if at_once:
-            desk.await_news()
+            desk.lifecycle.await_news()
         self.box_list.take(config.known, whole=True)
         caller = PlatformCaller(reactor, self.box_list.address)
         self.front = PlatformFront(config, desk, caller)
@@ -110,9 +110,9 @@
         desk = self.desk
 
         def said(good: bool) -> list[str]:
-            return [f"{'ok' if good else 'fail'} {desk.duty.value}"]
-        return {"PING": lambda: said(desk.takes_clients), "INFO": lambda: ["ok", *self.figures(), "eof"],
-                "LAMEDUCK": lambda: said(desk.lame_duck()), "REJOIN": lambda: said(desk.rejoin())}
+            return [f"{'ok' if good else 'fail'} {desk.lifecycle.duty.value}"]
+        return {"PING": lambda: said(desk.lifecycle.takes_clients), "INFO": lambda: ["ok", *self.figures(), "eof"],
+                "LAMEDUCK": lambda: said(desk.lifecycle.lame_duck()), "REJOIN": lambda: said(desk.lifecycle.rejoin())}
 
     def figures(self) -> list[str]:
         """The figures now, a line each."""
@@ -167,7 +167,7 @@
         """A planned restart."""
         if self.config.socket_fd is None or (self.taking and self.taking.mine()):
             # Nobody replaces this process yet: it goes on reading the listener, and holds its visits, to the last.
-            self.desk.leave(self._stop)
+            self.desk.lifecycle.leave(self._stop)
             return
         if self.port:
             self.port.stopListening()  # whoever waits in the listener's queue is the new process's
@@ -177,7 +177,7 @@
         if call:
             log.info("visits go to the process that takes over")
             Giving(self.desk, self.front, call).step()
-        self.desk.leave(self._stop, replaced=call is None)
+        self.desk.lifecycle.leave(self._stop, replaced=call is None)
         self._stop_when_empty()
 
     def _stop_when_empty(self) -> None:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -188,13 +188,13 @@
     assert not bench.knocks, "a pause of a sound machine is no sign"
     bench.wait(200_000)
     assert bench.knocks == ["box-0"], "one new connection, whatever stands there"
-    bench.desk.knocked("box-0", opened=False)
+    bench.desk.liveness.knocked("box-0", opened=False)
     assert [c.told for c, _ in carers[::7]] == [["seat", "move"]] * 2
     assert bench.knocks[1:] == ["box-1", "box-2", "box-3"], "a few more in that zone, and none elsewhere"
-    bench.desk.knocked("box-1", opened=True)
+    bench.desk.liveness.knocked("box-1", opened=True)
     carers[2][1].heard_box()
-    bench.desk.knocked("box-2", opened=False)  # a word that came meanwhile says that it is there
-    bench.desk.knocked("box-3", opened=False)
+    bench.desk.liveness.knocked("box-2", opened=False)  # a word that came meanwhile says that it is there
+    bench.desk.liveness.knocked("box-3", opened=False)
     bench.desk.turn()
     assert [n for n, (c, _) in enumerate(carers) if "move" in c.told] == [0, 3, 7, 10]
     assert bench.knocks[4:] == ["box-4", "box-5"], "each that has vanished leads on, none is asked twice"
@@ -214,7 +214,7 @@
         attempt.asked_box()
         bench.wait(100_000)
         if bench.knocks:
-            bench.desk.knocked("box-1", opened=True)
+            bench.desk.liveness.knocked("box-1", opened=True)
     assert bench.knocks == ["box-1"] and carer.told == ["seat"]
 
 
@@ -227,8 +227,9 @@
     for _ in range(50):
         bench.wait(100_000)
         if bench.knocks:
-            bench.desk.knocked("box-1", opened=True)
-    assert bench.knocks == ["box-1"] and not bench.desk.quiet.owed and not bench.desk.quiet_look_us
+            bench.desk.liveness.knocked("box-1", opened=True)
+    liveness = bench.desk.liveness
+    assert bench.knocks == ["box-1"] and not liveness.quiet.owed and not liveness.quiet_look_us
 
 
 def test_one_connection_that_falls_silent_alone_tells_nothing_against_its_box() -> None:
@@ -282,7 +283,7 @@
     standing = [bench.standing()[1] for _ in range(40)]
     done = list[int]()
     began = bench.now
-    bench.desk.leave(lambda: done.append(bench.now))
+    bench.desk.lifecycle.leave(lambda: done.append(bench.now))
     late, late_carer = bench.arrive()
     bench.order(i.Start(late.number, "box-1", 900_000))
     bench.attempts[-1].stands("receipt")
@@ -302,7 +303,7 @@
     bench = Bench()
     busy, busy_carer, _ = bench.standing("box-1")
     left, left_carer, _ = bench.standing("box-2")
-    bench.desk.leave(lambda: None)
+    bench.desk.lifecycle.leave(lambda: None)
     bench.desk.listed(i.ListUpdate((i.ServerEntry("box-2", i.ServerState.DRAINING),), False))
     bench.order(i.Move(busy.number), i.Move(left.number))
     assert busy_carer.told == ["seat"] and left_carer.told == ["seat", "move"]
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -171,7 +171,7 @@
         bench = Bench()
         reactor: Any = MemoryReactorClock()  # type: ignore[no-untyped-call]
         asker = LoadAsker(reactor, bench.desk, lambda _: ("127.0.0.1", 9))
-        with patch.object(bench.desk, "knocked", lambda box, opened, end=end: heard.append((end, opened))):
+        with patch.object(bench.desk.liveness, "knocked", lambda box, opened, end=end: heard.append((end, opened))):
             asker.knock("box-1", 150_000)
             _, _, knock, _, _ = reactor.tcpClients[0]
             if end == "up":
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -157,7 +157,7 @@
     bench.order(i.Start(line.visit.number, "box-1", 1_000_000))
     bench.attempts[-1].stands(b"UP r-1")
     line.dataReceived(b"half a li")
-    bench.desk.lame_duck()
+    bench.desk.lifecycle.lame_duck()
     bench.wait(3_300_000)
     assert wire.said == b"MOVE\r\n" and not bench.desk.visits, "told, whatever its own half line"
     bench.wait(2_100_000)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -90,7 +90,7 @@
     assert old.may_be_refused, "safe, by its own rules"
     new.call = replace(new.call, klass=1)
     assert not new.may_be_refused, "what may have run and must not run twice is no invitation to come again"
-    bench.desk.lame_duck()
+    bench.desk.lifecycle.lame_duck()
     bench.wait(3_700_000)
     assert carer.told == ["fail"]
 
