End connections in order, begin nothing after the last answer, and judge each send as it is written

Seen on the code before, each by a test on real connections with the order forced (private reactor, held sockets, driven clock): - Relay._stop ran the loop 0.15 s more with the listener open: a first line read then was sent on (CarerLine._first, Desk.arrive). - The listener's queue and whoever rested at the door were reset at the end (reactor.stop over unread bytes). - Lines.finish closed both directions: a line of the client unread at that moment turned MOVE, ERR and BUSY into a reset. - BoxLine.connectionMade wrote without a look at the client: a client whose end, reset or half line lay unread was sent on; and the write itself waited for the next turn of the loop. - PlatformLeg.hang_up closed an attempt that was given up in order: what was left of its first line could still leave, though the module had been told that nothing ran (SILENT while WRITING), and a second attempt followed. - A drain of 3.2 s went on as it was when SIGTERM came, though SIGKILL could follow sooner; a second SIGTERM ran leave again. Ruled out: an attempt that connects after the shutdown wrote nothing before either (it is closed with its visit).

Duties STOPPING and STOPPED in the one table; fronts, attempts and retries ask it. The end waits for the peers' ends, 0.25 s at most, 0.2 s before SIGKILL. Attempt.barred is asked as the first byte is written: the client is there, the relay begins things, the box serves, the window of repeats is open; the byte leaves at once. What is given up before UP is reset. Tests that changed: a second LEAVE is no step any more (test_duty, stricter), may_send is barred (test_core), the recording transports know a half close.

--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -182,6 +182,9 @@
         """A carer's device asks to be connected."""
         visit = self._new(call, carer, caller, max(1, call.patience_us - ANSWER_MARGIN_US))
         self.tally.add("visits")
+        if not self.lifecycle.begins:  # read after the last answers: it is answered at once, and never sent on
+            self.answer(visit, i.Refuse(visit.number))
+            return visit
         if call.came_back:
             self.tally.add("visits_came_back")
         visit.watch = self.wheel.set(visit.deadline_us + NET_US, partial(self._overdue, visit))
@@ -192,6 +195,9 @@
         """A visit that stood at `box` before this relay started: it goes there and nowhere else."""
         visit = self._new(call, carer, caller, BROUGHT_US, box)
         self.tally.add("visits_brought")
+        if not self.lifecycle.begins:
+            self.answer(visit, None)
+            return visit
         visit.watch = self.after(BROUGHT_US, partial(self._overdue, visit))
         self.reach_out(visit, box, min(visit.deadline_us, self.clock() + BROUGHT_TRY_US))
         return visit
@@ -299,7 +305,8 @@
 
     def _start(self, start: i.Start) -> None:
         visit = self.visits.get(start.request)
-        if visit is None or visit.stage is not Stage.WAITING or visit.attempts >= visit.settings.max_attempts:
+        if visit is None or visit.stage is not Stage.WAITING or visit.attempts >= visit.settings.max_attempts \
+                or not self.lifecycle.begins:
             # Guards against a send after the end, a second copy, and one attempt too many.
             final = visit is None or visit.stage is Stage.STANDING
             self.put(i.Outcome(start.request, visit.attempts if visit else 0, start.server, i.Result.MOOT,
@@ -321,8 +328,19 @@
         if attempt.over:  # it ended at once, before its leg was known here
             attempt.leg.hang_up(Ending.ORDERLY)
 
+    def barred(self, attempt: Attempt) -> Cause | None:
+        """Why its request may not leave any more, now that its first byte is about to be written; None: it may."""
+        visit = attempt.visit
+        if not attempt.over and visit.carer.has_left():  # the end of its side may lie unread yet
+            self.carer_left(visit, Ending.ORDERLY)
+        if attempt.over or not self.lifecycle.begins or not visit.may_repeat(self.clock()):
+            return Cause.NOT_TRIED
+        # Guards against a late connect that delivers new work to a push box that has meanwhile been told to drain.
+        return None if visit.pinned or self.serves(attempt.box) else Cause.BROKEN
+
     def came(self, attempt: Attempt) -> None:
         """An attempt came further: from the connect's patience to the whole attempt's."""
+        attempt.wrote_us = attempt.wrote_us or self.clock()
         if attempt.reach is Reach.SENT:
             self.tally.add("sends_total")
         if attempt.reach is Reach.WRITING and attempt.timer:
@@ -364,6 +382,8 @@
         else:
             visit.step(Stage.WAITING)
             visit.attempt = None
+            if shortfall.result not in i.NEVER_RAN:
+                visit.ran_us = visit.ran_us or attempt.wrote_us
             self._tell_end(attempt, shortfall, False)
 
     def _tell_end(self, attempt: Attempt, shortfall: Shortfall, final: bool) -> None:
--- a/gradefront/core/duty.py
+++ b/gradefront/core/duty.py
@@ -1,4 +1,5 @@
-"""Whether the relay takes clients: one state table, read by the front's `PING` and the operators' door alike."""
+"""Whether the relay takes clients, begins anything, or is at its end: one table of states, which the fronts,
+attempts, retries and the operators' door all ask."""
 
 from __future__ import annotations
 
@@ -11,7 +12,9 @@
     STARTING = "starting"  # no push box is known yet
     SERVING = "serving"
     LAME_DUCK = "lame duck"  # operators empty it; it serves whoever still comes, and goes on running
-    LEAVING = "leaving"  # it empties itself and ends
+    LEAVING = "leaving"  # it empties itself; what comes is served still
+    STOPPING = "stopping"  # all has its answer; what is read now gets one at once, and nothing begins
+    STOPPED = "stopped"  # the process ends
 
 
 class Word(Enum):
@@ -22,6 +25,8 @@
     LAMEDUCK = "lameduck"
     REJOIN = "rejoin"
     LEAVE = "leave"
+    STOP = "stop"
+    STOPPED = "stopped"
 
 
 #: A word that stands in no line changes nothing, and whoever said it is told so.
@@ -36,7 +41,10 @@
     (Duty.STARTING, Word.REJOIN): Duty.STARTING,
     (Duty.LAME_DUCK, Word.LAMEDUCK): Duty.LAME_DUCK,
     (Duty.LEAVING, Word.LAMEDUCK): Duty.LEAVING,
-    **{(duty, Word.LEAVE): Duty.LEAVING for duty in Duty},
+    (Duty.STOPPING, Word.LAMEDUCK): Duty.STOPPING,
+    **{(duty, Word.LEAVE): Duty.LEAVING for duty in (Duty.STARTING, Duty.SERVING, Duty.LAME_DUCK)},
+    **{(duty, Word.STOP): Duty.STOPPING for duty in Duty if duty is not Duty.STOPPED},
+    (Duty.STOPPING, Word.STOPPED): Duty.STOPPED,
 }
 
 
--- a/gradefront/core/lifecycle.py
+++ b/gradefront/core/lifecycle.py
@@ -20,7 +20,7 @@
 LEAVE_AFTER_US = 1_500_000  # visits are served until then. Guards against sending carers away while the relay
 # that left before is not back yet: for them there would be no relay at all
 LEAVE_BY_US = 600_000  # the last carer is told by then
-GONE_BY_US = 450_000  # the process ends by then
+STOP_BY_US = 450_000  # all has its answer by then, and nothing new begins
 LEAVE_STEP_US = 50_000
 NEWS_BY_US = 3_500_000  # a process that replaces another waits so long for the box list, of 6 s from its start
 FRONT_US = 450_000  # after SIGTERM: the front still sends carers here for 0.2 to 0.4 s
@@ -54,6 +54,7 @@
         self.awaits_news = False  # says yes only once discovery has spoken, not on a list from before
         self.opens: Callable[[], None] | None = None  # done when it first takes clients
         self.emptying: object = None  # of the drain that is on: a step of an earlier one does nothing
+        self.empty_us = 0  # by then the last carer is to be told, on account of the drain that is on; 0: none is
         self.kill_us = LONGEST_US + KILL_US
         self.heed(classes)
 
@@ -66,6 +67,11 @@
         """What the front's `PING` and the operators' door say alike."""
         return self.duty is Duty.SERVING
 
+    @property
+    def begins(self) -> bool:
+        """Whether anything new is begun: a request sent on, an attempt, a first line."""
+        return self.duty not in (Duty.STOPPING, Duty.STOPPED)
+
     def hear(self, word: Word) -> bool:
         """Take one step of the table of duties, if there is one."""
         to = step(self.duty, word)
@@ -103,19 +109,17 @@
         was = self.duty
         if not self.hear(Word.LAMEDUCK):
             return False
-        if was not in (Duty.LAME_DUCK, Duty.LEAVING):
-            token = self.emptying = object()
-            by_us = self.core.clock() + LAME_BY_US
+        if was not in (Duty.LAME_DUCK, Duty.LEAVING, Duty.STOPPING):
             # Not at once: the front still sends carers here, and some would come back to where they left.
-            self.core.after(FRONT_US, partial(self._empty_some, token, by_us))
-            self.core.after(LAME_ANSWER_US, partial(self._answer_waiting, token))
+            self._empty(FRONT_US, self.core.clock() + LAME_BY_US)
+            self.core.after(LAME_ANSWER_US, partial(self._answer_waiting, self.emptying))
         return True
 
     def rejoin(self) -> bool:
         """The end of the drain, at once: nobody is moved any more on its account."""
         if not self.hear(Word.REJOIN):
             return False
-        self.emptying = None
+        self.emptying, self.empty_us = None, 0
         self.say_ready()
         return True
 
@@ -123,17 +127,20 @@
         """The relay is to stop: answer on, tell what stands to move, spread over the time there is. `replaced`: a new
         process takes the clients in meanwhile and nobody takes these visits over, so that nothing is gained by
         waiting."""
-        if self.duty is Duty.LEAVING:
+        if not self.hear(Word.LEAVE):
             return
-        lame = self.duty is Duty.LAME_DUCK
-        self.hear(Word.LEAVE)
         log.info("leaving: %d visits to be told", len(self.core.visits))
-        if not lame:  # else the drain that is on goes on; it is as fast
-            token = self.emptying = object()
-            by_us = self.core.clock() + self.kill_us - LEAVE_BY_US
-            first_us = LEAVE_STEP_US if replaced else max(FRONT_US, self.kill_us - LEAVE_AFTER_US)
-            self.core.after(first_us, partial(self._empty_some, token, by_us))
-        self.core.after(self.kill_us - GONE_BY_US, partial(self._gone, done))
+        by_us = self.core.clock() + self.kill_us - LEAVE_BY_US
+        if not 0 < self.empty_us <= by_us:  # else the drain that is on goes on; it is fast enough
+            first_us = max(FRONT_US, self.kill_us - LEAVE_AFTER_US)
+            self._empty(LEAVE_STEP_US if replaced or self.empty_us else first_us, by_us)
+        self.core.after(self.kill_us - STOP_BY_US, partial(self.stop, done))
+
+    def _empty(self, first_us: int, by_us: int) -> None:
+        """Begin to send clients away."""
+        token = self.emptying = object()
+        self.empty_us = by_us
+        self.core.after(first_us, partial(self._empty_some, token, by_us))
 
     def _empty_some(self, token: object, by_us: int) -> None:
         """Tell a part of what stands to move, so that the last is told by then; later comers at once."""
@@ -156,8 +163,11 @@
                 # Guards against doubled effects: a refusal is an invitation to come again.
                 self.core.answer(visit, i.Refuse(visit.number) if visit.may_be_refused else None)
 
-    def _gone(self, done: Callable[[], None]) -> None:
-        """The last moment: whoever still waits gets the answer that this relay won't give later."""
+    def stop(self, done: Callable[[], None]) -> None:
+        """The last moment, once: whoever still waits gets the answer that this relay won't give later, and nothing
+        begins from here on."""
+        if self.duty is Duty.STOPPING or not self.hear(Word.STOP):
+            return
         self._answer_waiting(self.emptying)
         for visit in list(self.core.visits.values()):
             self.core.move(visit)
--- a/gradefront/core/ports.py
+++ b/gradefront/core/ports.py
@@ -56,6 +56,9 @@
     def end(self, how: Ending) -> None:
         """The push box ended a visit that stood."""
 
+    def has_left(self) -> bool:
+        """Whether the carer has ended its side by now, be it heard of or not: a look at the wire, not a wait."""
+
 
 class BoxAsker(Protocol):
     """Asks a push box for its load; the desk's `told_load` gets the answer. Knocks at one that says nothing."""
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -39,8 +39,8 @@
     def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
         """Run `then` later."""
 
-    def serves(self, box: str) -> bool:
-        """Whether new work may go to a push box."""
+    def barred(self, attempt: Attempt) -> Cause | None:
+        """Why its request may not leave any more."""
 
     def came(self, attempt: Attempt) -> None:
         """It came further."""
@@ -88,7 +88,7 @@
     """One item that a carer's device brought: its number, its deadline, its one answer."""
 
     __slots__ = ("number", "call", "carer", "caller", "deadline_us", "stage", "attempts", "attempt",
-                 "pinned", "watch", "came_us", "settings")
+                 "pinned", "watch", "came_us", "settings", "ran_us")
 
     def __init__(self, number: int, call: Call, carer: CarerSide, caller: BoxCaller, now_us: int,
                  deadline_us: int, settings: Settings, pinned: str = "") -> None:
@@ -104,12 +104,23 @@
         self.attempt: Attempt | None = None  # the one that is out, or that stands
         self.pinned = pinned  # the one push box that a visit from before the start may go to
         self.watch: Timer | None = None
+        self.ran_us = 0  # when the first attempt that may have run began to be written; 0: none has
 
     @property
     def may_be_refused(self) -> bool:
         """Whether to come again is harmless: nothing was sent, or its effects may be had twice."""
         return not self.attempts or self.settings.classes[self.call.klass].repeat is Repeat.SAFE
 
+    def may_repeat(self, now_us: int) -> bool:
+        """Whether a further attempt doubles no effect. Asked when it is written: the module decides earlier, and a
+        window may close while a connection comes up."""
+        if not self.ran_us:
+            return True
+        rule = self.settings.classes[self.call.klass]
+        if rule.repeat is Repeat.KEYED:
+            return now_us < self.ran_us + rule.dedup_window_us
+        return rule.repeat is Repeat.SAFE
+
     def step(self, to: Stage) -> None:
         """Take a legal step, or raise."""
         if to not in STEPS[self.stage]:
@@ -121,7 +132,7 @@
     """One attempt at a push box. A leg tells it how far it came; once over, it hears nothing more."""
 
     __slots__ = ("desk", "visit", "number", "box", "reach", "began_us", "until_us", "timer", "leg", "over",
-                 "asked", "heard_us", "report", "load")
+                 "asked", "heard_us", "report", "load", "wrote_us")
 
     def __init__(self, desk: Owner, visit: Visit, box: str, until_us: int) -> None:
         self.desk = desk
@@ -131,6 +142,7 @@
         self.reach = Reach.CONNECTING
         self.began_us = self.heard_us = desk.clock()
         self.until_us = until_us
+        self.wrote_us = 0  # when its first line began to be written
         self.timer: Timer | None = None
         self.leg: BoxLeg | None = None
         self.over = False
@@ -138,10 +150,9 @@
         self.report: LoadReport | None = None  # what the push box's last word said of its load
         self.asked: deque[int] = deque(maxlen=16)  # when messages went to the push box that await a reply
 
-    def may_send(self) -> bool:
-        """Whether the request may still leave. Guards against a late connect that delivers new work to a
-        push box that the relay has meanwhile been told drains or is gone."""
-        return not self.over and (bool(self.visit.pinned) or self.desk.serves(self.box))
+    def barred(self) -> Cause | None:
+        """Why the request may not leave any more, asked as its first byte is about to be written; None: it may."""
+        return self.desk.barred(self)
 
     def left_us(self) -> int:
         """How long this relay will still wait for the push box's answer."""
--- a/gradefront/net/asker.py
+++ b/gradefront/net/asker.py
@@ -40,6 +40,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         """The push box ended it, or it was dropped here."""
+        super().connectionLost(reason)
         self.owner.lost(self)
 
 
--- a/gradefront/net/base.py
+++ b/gradefront/net/base.py
@@ -2,32 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
 from twisted.internet.error import ConnectionDone
 from twisted.protocols.basic import LineReceiver
 
 from gradefront.core.ports import Ending
-from gradefront.core.wheel import Timer
 
+from .closing import MOST_BYTES, Closing
 from .lines import MAX_LINE
 
-FLUSH_US = 2_000_000  # after the last line: how long a slow peer may take to read it
-
-
-class Later(Protocol):
-    """Runs things later."""
-
-    def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
-        """Run `then` at the first tick after the delay."""
-
 
 class Lines(LineReceiver):
     """Lines that end with CRLF and are at most 4 KiB long."""
 
     MAX_LENGTH = MAX_LINE
     delimiter = b"\r\n"
+    closing_in: Closing | None = None  # from `finish` on
+    thrown_away = 0  # bytes that came after that
 
     @property
     def wire(self) -> Any:
@@ -38,11 +30,24 @@
         """Send a line."""
         self.wire.write(line + b"\r\n")
 
-    def finish(self, desk: Later) -> Timer:
-        """End once all that was said has left. Guards against a peer that no longer reads: the timer cuts it off."""
-        transport = self.wire
-        transport.loseConnection()
-        return desk.after(FLUSH_US, transport.abortConnection)
+    def finish(self, closing: Closing) -> None:
+        """End once all that was said has left. Nothing that comes from here on counts."""
+        self.closing_in = closing
+        closing.begin(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Bytes. Those after the end are thrown away, so that they can't turn it into a reset; so many at most."""
+        if self.closing_in is None:
+            cast(Any, super()).dataReceived(data)
+            return
+        self.thrown_away += len(data)
+        if self.thrown_away > MOST_BYTES:
+            self.wire.abortConnection()
+
+    def connectionLost(self, reason: Any = None) -> None:
+        """The connection is no more."""
+        if self.closing_in:
+            self.closing_in.over(self)
 
     def unfinished(self) -> bytes:
         """What has come of a line that has no end yet."""
--- a/gradefront/net/boxleg.py
+++ b/gradefront/net/boxleg.py
@@ -14,6 +14,7 @@
 from milletdeal.interface import Reports
 
 from .base import Lines, ending
+from .closing import Closing
 from .lines import FirstLine, read_report
 from .reactor import Reactor
 
@@ -31,12 +32,15 @@
         """Send the first line, and learn from the transport when its last byte has left."""
         transport = self.wire
         transport.setTcpNoDelay(True)
-        if not self.leg.attempt.may_send():
-            self.leg.attempt.ends(Cause.BROKEN)
+        why = self.leg.attempt.barred()
+        if why:
+            self.leg.attempt.ends(why)
             transport.abortConnection()
             return
         self.leg.attempt.came(Reach.WRITING)
         transport.registerProducer(self, False)
+        # At once, not when the loop comes round: until then the client may leave, or the push box be told to drain.
+        transport.doWrite()
 
     def resumeProducing(self) -> None:
         """Called as a pull producer: first to write, then when all that was written has left."""
@@ -67,6 +71,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         """Tell the leg, after what the push box sent of an unfinished line."""
+        super().connectionLost(reason)
         self.leg.lost(ending(reason), self.unfinished())
 
 
@@ -75,7 +80,8 @@
 
     noisy = False
 
-    def __init__(self, attempt: Attempt, first: FirstLine) -> None:
+    def __init__(self, attempt: Attempt, first: FirstLine, closing: Closing) -> None:
+        self.closing = closing
         self.attempt = attempt
         self.first = first
         self.line: BoxLine | None = None
@@ -162,23 +168,27 @@
                 self.gone = True
                 self.connector.disconnect()
         elif self.line.transport and not self.gone:
-            if how is Ending.BROKEN:
+            # An attempt that is given up must leave nothing that could still arrive: another one may follow, and
+            # what is written, here or in the kernel, goes on its way until the connection is reset.
+            if how is Ending.BROKEN or self.attempt.reach < Reach.UP:
                 self.line.wire.abortConnection()
             else:
-                self.line.finish(self.attempt.desk)
+                self.line.wire.unregisterProducer()
+                self.line.finish(self.closing)
 
 
 class PlatformCaller:
     """Reaches push boxes over the platform's lines."""
 
-    def __init__(self, reactor: Reactor, address: Callable[[str], tuple[str, int] | None]) -> None:
+    def __init__(self, reactor: Reactor, address: Callable[[str], tuple[str, int] | None], closing: Closing) -> None:
         self.reactor = reactor
+        self.closing = closing
         self.address = address
 
     def call(self, attempt: Attempt, parcel: object) -> BoxLeg:
         """Connect and send the carer's first line."""
         assert isinstance(parcel, FirstLine)
-        leg = PlatformLeg(attempt, parcel)
+        leg = PlatformLeg(attempt, parcel, self.closing)
         where = self.address(attempt.box)
         if where is None:  # not in the box list any more: nothing was sent
             attempt.ends(Cause.BROKEN)
--- a/gradefront/net/boxlist.py
+++ b/gradefront/net/boxlist.py
@@ -155,6 +155,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         """Discovery ended the watch."""
+        super().connectionLost(reason)
         self.call.over("the connection ended")
 
 
@@ -284,9 +285,13 @@
         end is no news. The numbers of its revisions mean nothing at the new address, so all is asked for."""
         self.where = where
         self.box_list.revision = 0
+        self.close()
+        self._call()
+
+    def close(self) -> None:
+        """The relay ends."""
         if self.call:
             self.call.close()
-        self._call()
 
     def _call(self) -> None:
         self.called_us = self.desk.clock()
--- a/gradefront/net/front.py
+++ b/gradefront/net/front.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
@@ -18,6 +19,7 @@
 
 from .base import Lines, ending
 from .boxleg import PlatformLeg
+from .closing import PART, Closing
 from .lines import BadLine, read_first, read_id
 
 log = logging.getLogger("gradefront.front")
@@ -112,6 +114,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:
         """The device ended its side, or this relay did."""
+        super().connectionLost(reason)
         self.front.open -= 1
         self.front.door.pop(self, None)
         self.patience.cancel()
@@ -174,7 +177,20 @@
         self.closing = True
         self.wire.unregisterProducer()  # else the transport would wait for its producer's end
         self.patience.cancel()
-        self.patience = self.finish(self.front.desk)
+        self.finish(self.front.closing)
+
+    def has_left(self) -> bool:
+        """Whether the device has ended its side, even where that lies unread. What it sent before that is taken."""
+        while not self.closing:
+            try:
+                if not self.wire.socket.recv(1, socket.MSG_PEEK):
+                    return True
+            except BlockingIOError:
+                return False
+            except OSError:
+                return True
+            self.wire.doRead()
+        return True
 
     def cut(self) -> None:
         """End at once."""
@@ -184,6 +200,7 @@
     def make_room(self) -> None:
         """Others need the descriptor more."""
         self.front.desk.tally.add("ended_for_room")
+        self.front.door.pop(self, None)
         self._last(b"BUSY")
 
 
@@ -192,13 +209,16 @@
 
     noisy = False
 
-    def __init__(self, config: Config, desk: Desk, caller: BoxCaller) -> None:
+    def __init__(self, config: Config, desk: Desk, caller: BoxCaller,
+                 legs: Closing | None = None) -> None:
         self.config = config
         self.desk = desk
         self.caller = caller
         self.open = 0
         self.door: dict[CarerLine, None] = {}  # connections that have made no visit yet, the oldest first
         self.ids: dict[bytes, None] = {}  # of connections that made a visit, the oldest first
+        self.closing = Closing(desk, config.sockets // PART)
+        self.legs = legs or Closing(desk, config.sockets // PART)  # to push boxes, that are being ended
         self.told_us = 0
         self.untold = 0
 
@@ -209,19 +229,26 @@
             return None
         return CarerLine(self)
 
+    def end_rest(self) -> None:
+        """The relay ends: whoever stands at the door still is told to come again."""
+        for line in list(self.door):
+            line.make_room()
+
     def held(self) -> int:
-        """Descriptors held for devices: one a connection, and one more to the push box of each visit."""
-        return self.open + len(self.desk.visits)
+        """Descriptors held for devices: one a connection, and one more to the push box of each visit, which is held
+        for a moment longer than the visit."""
+        return self.open + len(self.desk.visits) + len(self.legs)
 
     def came(self, line: CarerLine) -> None:
         """A connection came to the door. Where descriptors run short, who stood there longest goes."""
         self.open += 1
         self.door[line] = None
         room = self.config.sockets - SPARE_SOCKETS - self.config.sockets // ROOM_PART
+        while self.held() > room and (self.closing.make_room() or self.legs.make_room()):
+            pass  # who has had its answer needs its descriptor least
         if self.held() > room:
             oldest = next(iter(self.door))
             if line.came_us - oldest.came_us > FRESH_US:
-                del self.door[oldest]
                 oldest.make_room()
 
     def new_id(self, connection: bytes) -> None:
--- a/gradefront/ops/door.py
+++ b/gradefront/ops/door.py
@@ -14,6 +14,7 @@
 
 from gradefront.core.desk import Desk
 from gradefront.net.base import Lines
+from gradefront.net.closing import Closing
 
 log = logging.getLogger("gradefront.door")
 
@@ -64,10 +65,11 @@
         self.patience.cancel()
         for line in lines:
             self.say(line.encode())
-        self.patience = self.finish(self.door.desk)
+        self.finish(self.door.closing)
 
     def connectionLost(self, reason: Any = None) -> None:
         """The caller left, or has its answer."""
+        super().connectionLost(reason)
         self.answered = True
         self.patience.cancel()
         self.door.callers.pop(self, None)
@@ -81,6 +83,7 @@
     def __init__(self, desk: Desk, calls: Mapping[str, Answer]) -> None:
         self.desk = desk
         self.calls = calls
+        self.closing = Closing(desk, MOST_CALLERS)
         self.callers: dict[CallerLine, None] = {}  # the oldest first
 
     def buildProtocol(self, addr: object) -> CallerLine | None:
--- a/gradefront/quic/visits.py
+++ b/gradefront/quic/visits.py
@@ -169,6 +169,10 @@
             self.front.adopt(self, self.leg.attempt.box)
         self._reset()
 
+    def has_left(self) -> bool:
+        """A datagram client says nothing as it leaves."""
+        return False
+
     def end(self, how: Ending) -> None:
         """The push box is gone: the client learns by a reset rather than by its own idle time."""
         self._reset()
@@ -200,7 +204,7 @@
 
     def send(self, datagram: bytes, client: Address) -> None:
         """To the push box. Guards against a retransmit that opens a connection at a box told to drain."""
-        if self.attempt.may_send():
+        if self.attempt.barred() is None:
             self.attempt.came(Reach.WRITING)
             path = self.front.path(client, self.attempt.box, self.owner, self.owner.door)
             if path:
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -21,11 +21,13 @@
 from .config import Config, ConfigError, lacks, load
 from .core.classes import NoRoom
 from .core.desk import Desk
+from .core.duty import Duty, Word
 from .fleet.switch import fleet_file
 from .fleet.switch import load as load_fleet
 from .net.asker import LoadAsker
 from .net.boxleg import PlatformCaller
 from .net.boxlist import BoxList, ListWatch
+from .net.closing import PART, Closing
 from .net.front import PlatformFront
 from .net.reactor import Clock, Driver, Reactor
 from .ops.door import Answer, Door
@@ -43,6 +45,9 @@
 log = logging.getLogger("gradefront")
 
 EMPTY_LOOK_US = 100_000
+REST_US = 100_000  # after the last answers: who rests at the door may still ask, and is told to come again
+STOP_US = 250_000  # after the last answers the process ends, whoever has not closed by then; 0.2 s before SIGKILL
+STOP_LOOK_US = 8_000
 AT_START = ("name", "listen", "admin")  # a change waits for the next start
 
 
@@ -55,7 +60,6 @@
         self.config = config
         self.reactor = reactor
         self.quic: QuicFront | None = None
-        self.stopping = False
         self.taking: Taking | None = None
         self.driver = Driver(reactor, clock)
         self.desk = desk = Desk(Balancer(config.settings, config.seed), config.settings, clock,
@@ -72,8 +76,8 @@
         if at_once:
             desk.lifecycle.await_news()
         self.box_list.take(config.known, whole=True)
-        caller = PlatformCaller(reactor, self.box_list.address)
-        self.front = PlatformFront(config, desk, caller)
+        legs = Closing(desk, config.sockets // PART)
+        self.front = PlatformFront(config, desk, PlatformCaller(reactor, self.box_list.address, legs), legs)
         if quic:  # imported only where it is on: its libraries cost a start time and memory
             from .quic.front import QuicFront
             self.quic = QuicFront(config, quic, desk, reactor)
@@ -164,7 +168,9 @@
             self.quic.configure(quic)
 
     def leave(self) -> None:
-        """A planned restart."""
+        """A planned restart. A second signal changes nothing."""
+        if self.desk.lifecycle.duty in (Duty.LEAVING, Duty.STOPPING, Duty.STOPPED):
+            return
         if self.config.socket_fd is None or (self.taking and self.taking.mine()):
             # Nobody replaces this process yet: it goes on reading the listener, and holds its visits, to the last.
             self.desk.lifecycle.leave(self._stop)
@@ -185,17 +191,36 @@
         if self.front.open or self.desk.visits:
             self.desk.after(EMPTY_LOOK_US, self._stop_when_empty)
         else:
-            self._stop()
+            self.desk.lifecycle.stop(self._stop)
 
     def _stop(self) -> None:
+        """All has its answer. Connections are ended in order: who rests at the door may ask in this very moment."""
         if self.taking:
             self.taking.close()
-        if self.stopping:
-            return
-        self.stopping = True
         if self.fleet:
             self.fleet.leave()
-        self.reactor.callLater(0.15, self.reactor.stop)  # time for the last answers to leave
+        self.desk.after(REST_US, self._end_rest)
+        self.desk.after(STOP_US, self._stopped)
+        self._stop_when_ended()
+
+    def _end_rest(self) -> None:
+        """Whoever has asked for nothing is told to come again; the listener's queue is taken in before it closes."""
+        if self.port and self.config.socket_fd is None:
+            self.port.doRead()
+            self.port.stopListening()
+        self.front.end_rest()
+
+    def _stop_when_ended(self) -> None:
+        """Wait for the peers' ends, so that no close resets what they have not read yet."""
+        if self.front.open or self.front.legs or (self.port and self.port.connected):
+            self.desk.after(STOP_LOOK_US, self._stop_when_ended)
+        else:
+            self._stopped()
+
+    def _stopped(self) -> None:
+        if self.desk.lifecycle.hear(Word.STOPPED):
+            self.list_watch.close()
+            self.reactor.stop()
 
 
 def inherited(fd: int) -> socket.socket:
--- a/gradefront/state/handover.py
+++ b/gradefront/state/handover.py
@@ -278,7 +278,7 @@
         carer.id = left.id.encode()
         call = Call(0, None, klass, left.tenant, left.key, left.group, left.load, True)
         visit, attempt = desk.take_over(call, carer, self.front.caller, left.box, left.heard_us, left.asked_us)
-        leg = PlatformLeg(attempt, FirstLine(b"", b"", False))
+        leg = PlatformLeg(attempt, FirstLine(b"", b"", False), self.front.legs)
         leg.line = JoinedBox(leg)
         attempt.leg, attempt.load = leg, left.load
         for fd, line in zip(fds, (carer, leg.line), strict=True):
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -44,6 +44,9 @@
     def end(self, how: Ending) -> None:
         self.told.append("end")
 
+    def has_left(self) -> bool:
+        return False
+
 
 class Bench:
     """A desk, its clock, its box caller, and a decision module that does what the test says."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -136,9 +136,9 @@
     bench = Bench()
     visit, _ = bench.arrive()
     bench.order(i.Start(visit.number, "box-1", 900_000))
-    assert bench.attempts[0].may_send()
+    assert bench.attempts[0].barred() is None
     bench.desk.listed(i.ListUpdate((i.ServerEntry("box-1", i.ServerState.DRAINING),), whole=False))
-    assert not bench.attempts[0].may_send()
+    assert bench.attempts[0].barred() is Cause.BROKEN
 
 
 def test_brought_visit_goes_to_its_own_box_only_and_at_most_four_times() -> None:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -35,7 +35,10 @@
     def setTcpNoDelay(self, on: bool) -> None:
         pass
 
-    unregisterProducer = abortConnection = loseConnection
+    unregisterProducer = abortConnection = loseWriteConnection = loseConnection
+
+    def resumeProducing(self) -> None:
+        pass
 
     @property
     def disconnecting(self) -> bool:
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -16,9 +16,13 @@
 
 def test_every_word_has_an_answer_in_every_state_and_leaving_has_no_way_back() -> None:
     granted = {(duty, word) for duty in Duty for word in Word if step(duty, word) is not None}
-    assert all((duty, Word.LEAVE) in granted and (duty, Word.LAMEDUCK) in granted for duty in Duty)
-    assert {step(Duty.LEAVING, word) for word in Word} == {Duty.LEAVING, None}
+    assert all((duty, Word.LEAVE) in granted for duty in (Duty.STARTING, Duty.SERVING, Duty.LAME_DUCK))
+    assert all((duty, Word.LAMEDUCK) in granted for duty in Duty if duty is not Duty.STOPPED)
+    assert {step(Duty.LEAVING, word) for word in Word} == {Duty.LEAVING, Duty.STOPPING, None}
+    assert {step(Duty.STOPPING, word) for word in Word} == {Duty.STOPPING, Duty.STOPPED, None}
+    assert {step(Duty.STOPPED, word) for word in Word} == {None}
     assert step(Duty.LEAVING, Word.REJOIN) is None and step(Duty.LAME_DUCK, Word.READY) is None
+    assert step(Duty.LEAVING, Word.LEAVE) is None, "a second signal begins nothing anew"
 
 
 def test_a_drain_is_spread_over_its_time_and_answers_whoever_waits() -> None:
--- /dev/null
+++ b/tests/test_moments_close.py
@@ -0,0 +1,153 @@
+"""Rare moments of a close: bytes that come as a connection ends, and clients that end it as something is sent."""
+
+from __future__ import annotations
+
+import select
+from pathlib import Path
+
+import pytest
+
+from gradefront.net.boxleg import BoxLine
+from lab.town import settings
+
+from .loop import Backend, Loop, Peer, arrived, hold_connects
+
+
+def unread(loop: Loop, peer: Peer, what: bytes) -> None:
+    """Bytes of a peer are here, and the loop has not seen them."""
+    side = loop.side(peer)
+    loop.order.held.add(side.wire.fileno())
+    peer.send(what)
+    arrived(side.wire.socket)
+
+
+@pytest.mark.parametrize("bytes_under_way", [b"a whole line\r\n", b"half a li", b"x" * 5000])
+def test_a_move_survives_bytes_that_come_as_it_is_said(tmp_path: Path, bytes_under_way: bytes) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    client, at_backend = loop.standing(backend)
+    unread(loop, client, bytes_under_way)
+    (visit,) = loop.desk.visits.values()
+    loop.desk.move(visit)
+    loop.step(3)
+    loop.order.held.clear()
+    loop.until(lambda: client.read() and client.ended)
+    assert client.got == b"MOVE\r\n" and not client.reset
+    at_backend.close()
+    client.send(b"still here\r\n")
+    client.close()
+    loop.until(lambda: not loop.relay.front.open)
+
+
+@pytest.mark.parametrize(("first", "answer"), [(b"nonsense\r\n", b"ERR\r\n"), (b"OPEN\r\n", b"ERR\r\n")])
+def test_an_answer_survives_bytes_that_come_after_it(tmp_path: Path, first: bytes, answer: bytes) -> None:
+    loop = Loop(tmp_path, [Backend()])
+    client = loop.client()
+    client.send(first)
+    side = loop.side(client)
+    loop.until(lambda: side.closing)
+    assert side.wire.connected or client.read() == answer
+    client.send(b"more " * 1000 + b"\r\n")
+    loop.until(lambda: client.read() and client.ended)
+    assert client.got == answer and not client.reset
+    client.close()
+    loop.until(lambda: not loop.relay.front.open)
+
+
+def test_an_ended_device_that_goes_on_sending_is_cut_off_in_bounded_time_and_bytes(tmp_path: Path) -> None:
+    loop = Loop(tmp_path, [Backend()])
+    client, other = loop.client(), loop.client()
+    for peer in (client, other):
+        peer.line("nonsense")
+    loop.until(lambda: other.read() and client.read())
+    loop.wait(2_100_000, 20_000)
+    loop.until(lambda: not loop.relay.front.open)
+    flood = loop.client()
+    flood.line("nonsense")
+    sent = 0
+    while not flood.reset and sent < 1 << 22:
+        try:
+            flood.send(b"y" * 65536)
+        except ConnectionError:
+            break
+        sent += 65536
+        loop.step(4)
+        flood.read()
+    assert sent < 1 << 21 and flood.got == b"ERR\r\n"
+    loop.until(lambda: not loop.relay.front.open)
+
+
+def test_a_client_that_waits_on_is_sent_on_though_half_a_line_of_it_came(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    client = loop.client()
+    attempts = hold_connects(loop)
+    loop.open(client)
+    loop.until(lambda: attempts)
+    client.send(b"where are")
+    arrived(loop.side(client).wire.socket)
+    loop.order.held = {loop.side(client).wire.fileno()}
+    loop.until(lambda: backend.called)
+    at_backend = backend.accept()
+    loop.until(lambda: at_backend.read().endswith(b"\r\n"))
+    loop.order.held.clear()
+    at_backend.line("UP r-1")
+    loop.until(lambda: client.read() == b"UP r-1\r\n")
+    client.line(" you")
+    loop.until(lambda: at_backend.read().endswith(b"where are you\r\n"))
+
+
+@pytest.mark.parametrize("how", ["end", "reset", "half a line, then the end", "a line, then the end"])
+def test_a_client_that_left_as_the_connection_to_the_backend_came_up_is_not_sent_on(tmp_path: Path, how: str) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    client = loop.client()
+    side = loop.side(client)
+    attempts = hold_connects(loop)
+    loop.open(client)
+    loop.until(lambda: attempts)
+    loop.order.held.add(side.wire.fileno())  # the loop is busy, and does not read that the client leaves
+    if how.startswith("half"):
+        client.send(b"half a")
+    if how.startswith("a line"):
+        client.line("a line")
+    client.close(reset=how == "reset")
+    arrived(side.wire.socket, select.POLLRDHUP)
+    loop.order.held = {side.wire.fileno()}
+    loop.until(lambda: backend.called)
+    at_backend = backend.accept()
+    loop.until(lambda: attempts[0].over or at_backend.read())
+    loop.order.held.clear()
+    loop.wait(400_000, 20_000)
+    assert at_backend.read() == b"", "a request was sent on after its client had left"
+    assert loop.desk.tally.counts["gave_up_waiting"] + loop.desk.tally.counts["failed"] == 1
+
+
+def test_an_attempt_given_up_leaves_no_bytes_that_could_still_arrive(tmp_path: Path) -> None:
+    backends = [Backend(), Backend()]
+    loop = Loop(tmp_path, backends, settings(aim_ms=300, deadline_ms=3000))
+    client = loop.client()
+    taken = list[bytes]()
+
+    def some(data: bytes) -> int:  # the network takes a part of the line, and then nothing for a while
+        taken.append(data[:10])
+        return 10 if len(taken) == 1 else 0
+    made = BoxLine.connectionMade
+
+    def slow(line: BoxLine) -> None:
+        if not taken:
+            line.wire.writeSomeData = some
+        made(line)
+    BoxLine.connectionMade = slow  # type: ignore[method-assign, assignment]
+    try:
+        loop.open(client, d=3000)
+        loop.until(lambda: taken)
+    finally:
+        BoxLine.connectionMade = made  # type: ignore[method-assign]
+    (visit,) = loop.desk.visits.values()
+    attempt = visit.attempt
+    assert attempt and attempt.leg
+    line = attempt.leg.line  # type: ignore[attr-defined]
+    loop.until(lambda: attempt.over or loop.wait(20_000))
+    loop.step(3)
+    assert line.wire.disconnected or not line.wire.connected, "what is left of the first line may still leave"
--- /dev/null
+++ b/tests/test_moments_stop.py
@@ -0,0 +1,130 @@
+"""Rare moments at the end of a relay: what comes in the instant in which it stops."""
+
+from __future__ import annotations
+
+import socket
+from pathlib import Path
+
+from gradefront.core.duty import Duty
+from gradefront.core.visit import Stage
+from lab.town import settings
+
+from .loop import LONG_S, Backend, Loop, Peer, arrived, hold_connects
+
+
+def stopping(loop: Loop) -> None:
+    """SIGTERM, and the clock at the moment from which nothing new is begun."""
+    loop.leave()
+    lifecycle = loop.desk.lifecycle
+    loop.wait(lifecycle.kill_us - 500_000, 20_000)
+    while lifecycle.duty is not Duty.STOPPING:
+        loop.wait(4_000)
+
+
+def test_a_request_read_after_the_last_answers_is_answered_and_never_sent(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    resting = loop.client()
+    loop.leave()
+    loop.wait(700_000, 20_000)
+    late = loop.client()
+    loop.until(lambda: loop.wait(4_000) or loop.desk.lifecycle.duty is Duty.STOPPING)
+    loop.open(late)
+    loop.until(lambda: late.read().endswith(b"\r\n"))
+    assert late.got == b"BUSY\r\n"
+    loop.wait(400_000)
+    assert not backend.called, "a request read after the shutdown was sent on"
+    assert loop.stopped and late.read() == b"BUSY\r\n" and late.ended and not late.reset
+    assert resting.read() and resting.ended and not resting.reset
+
+
+def test_a_request_in_the_listeners_queue_at_the_end_is_answered(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    stopping(loop)
+    port = loop.relay.port
+    address = ("127.0.0.1", port.getHost().port) if port.connected else None
+    assert address, "the listener stands until its queue is empty"
+    loop.order.held.add(port.fileno())
+    queued = Peer(socket.create_connection(address, LONG_S))
+    queued.line("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=visit-checkin,d=900,g=5c0f6e1a2b3d4c59")
+    loop.order.held.clear()
+    loop.wait(400_000)
+    assert queued.read() == b"BUSY\r\n" and queued.ended and not queued.reset
+    assert loop.stopped and not backend.called
+
+
+def test_an_attempt_that_connects_after_the_shutdown_writes_nothing(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    loop.leave()
+    loop.wait(loop.desk.lifecycle.kill_us - 450_000 - 60_000, 20_000)
+    client = loop.client()
+    attempts = hold_connects(loop)
+    loop.open(client)
+    loop.until(lambda: attempts and backend.called)
+    assert attempts[0].visit.stage is Stage.REACHING
+    at_backend = backend.accept()
+    loop.wait(64_000)
+    loop.order.held.clear()
+    loop.wait(400_000)
+    assert client.read() == b"BUSY\r\n" and client.ended and not client.reset
+    assert b"OPEN" not in at_backend.read() and at_backend.ended
+
+
+def test_what_stands_is_told_though_a_line_of_it_comes_in_that_instant(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    client, _ = loop.standing(backend)
+    side = loop.side(client)
+    lifecycle = loop.desk.lifecycle
+    loop.order.held.add(side.wire.fileno())  # its line lies unread
+    loop.leave()
+    loop.wait(lifecycle.kill_us - 460_000, 20_000)
+    client.line("a message")
+    arrived(side.wire.socket)
+    loop.order.held.clear()
+    loop.order.first = []
+    loop.wait(450_000)
+    assert client.read().endswith(b"MOVE\r\n") and client.ended and not client.reset
+    assert loop.stopped
+
+
+def test_a_device_that_rests_at_the_door_until_the_end_is_ended_in_order(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    loop.leave()
+    lifecycle = loop.desk.lifecycle
+    loop.wait(lifecycle.kill_us - 600_000, 20_000)
+    resting, asking = loop.client(), loop.client()
+    loop.order.held.add(loop.side(asking).wire.fileno())
+    side = loop.side(asking)
+    loop.wait(300_000)
+    asking.line("OPEN 9b1f03aa5c7e2d42 7f3a9c21e0b4d655 c=visit-checkin,d=900,g=5c0f6e1a2b3d4c59")
+    if not side.closing:
+        arrived(side.wire.socket)
+    loop.order.held.clear()
+    loop.until(lambda: loop.wait(4_000) or loop.stopped)
+    for peer in (resting, asking):
+        assert peer.read() == b"BUSY\r\n" and peer.ended and not peer.reset
+    assert loop.stopped - loop.now_us <= 0 and not backend.called
+
+
+def test_signals_that_come_twice_or_late_change_nothing(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend], settings(deadline_ms=800))
+    ends = [loop.standing(backend) for _ in range(10)]
+    clients = [client for client, _ in ends]
+    loop.desk.lifecycle.lame_duck()  # a drain of 3.2 s; SIGKILL may come 1.5 s after SIGTERM
+    loop.wait(200_000)
+    began = loop.now_us
+    loop.leave()
+    told = list[int]()
+    while not loop.stopped:
+        loop.wait(50_000)
+        if len(told) == 4:
+            loop.leave()
+        told.append(sum(b"MOVE" in c.read() for c in clients))
+    assert loop.stopped - began <= 1_500_000 - 150_000
+    assert max(b - a for a, b in zip(told, told[1:], strict=False)) <= 4, "spread over the time that there is"
+    assert all(c.read().endswith(b"MOVE\r\n") and not c.reset for c in clients)
--- a/tests/test_ops.py
+++ b/tests/test_ops.py
@@ -29,6 +29,11 @@
     def abortConnection(self) -> None:
         self.disconnecting = True
 
+    loseWriteConnection = abortConnection
+
+    def resumeProducing(self) -> None:
+        pass
+
 
 class Callers:
     """A door, and callers at it."""
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -14,6 +14,7 @@
 from gradefront.net.asker import AskLine, BoxAsking, LoadAsker
 from gradefront.net.boxleg import PlatformLeg
 from gradefront.net.boxlist import BoxList, ListWatch, WatchCall
+from gradefront.net.closing import Closing
 from gradefront.net.front import PlatformFront
 from gradefront.net.lines import FirstLine
 from milletdeal import interface as i
@@ -33,6 +34,9 @@
     def unregisterProducer(self) -> None:
         pass
 
+    def doWrite(self) -> None:
+        pass
+
     def registerProducer(self, producer: Any, streaming: bool) -> None:
         if not streaming:
             producer.resumeProducing()
@@ -73,7 +77,7 @@
     visit, told = bench.arrive()
     bench.order(i.Start(visit.number, "box-1", 1_000_000))
     attempt = bench.attempts[-1]
-    leg = PlatformLeg(attempt, FirstLine(FIRST[:-2], b"", False))
+    leg = PlatformLeg(attempt, FirstLine(FIRST[:-2], b"", False), Closing(bench.desk, 8))
     line, wire, passed = cast(Any, leg.buildProtocol(None)), Piped(), list[bytes]()
     attempt.leg = leg
     cast(Any, told).seat = lambda *_: setattr(leg, "to_carer", passed.append)
