Read lists as objects, whole or not at all, and notice a silent watch in time

Need: lists may come indented and in any pieces; a silent watch counts as told after 6 s. Seen on the code before, each by a test on real connections, the clock driven: - WatchLine._take cut the stream at line ends: an indented list, or two objects on a line, ended every watch, for ever. - BoxList.take replaced the addresses before it read `revision`, and a bad one raised between the two (and out of rawDataReceived, past the guard); a whole list with one bad line took that backend, which serves, out. A size of NaN was taken. - WatchCall.alive counted any byte as life: half an object, or blanks, that drip kept a dead watch for ever (10.6 s in the test). - WatchCall._silent granted as much again when the loop was held up: news were known 7.6 s after the silence began, 6 are allowed.

The watch is a file of its own.

--- a/gradefront/net/boxlist.py
+++ b/gradefront/net/boxlist.py
@@ -1,29 +1,26 @@
-"""The box list: read from discovery's form, and watched over HTTP."""
+"""The box list, read from discovery's form."""
 
 from __future__ import annotations
 
-import json
 import logging
-from functools import partial
-from typing import Any
-
-from twisted.internet.protocol import ClientFactory
+import math
+from typing import Any, NamedTuple
 
 from gradefront.config import Config
 from gradefront.core.desk import Desk
-from gradefront.core.wheel import Timer
 from milletdeal import interface as i
 
-from .base import Lines
-from .reactor import Reactor
-
 log = logging.getLogger("gradefront.boxlist")
 
 STATES = {"SERVING": i.ServerState.READY, "DRAINING": i.ServerState.DRAINING, "DELETED": i.ServerState.GONE}
-ANSWER_US = 3_500_000  # discovery fails a call that waited 3 s by itself
-SILENCE_US = 3_000_000  # an empty line comes every 2 s; told news stands after 6 s, so ask again well before
-LEAST_GRACE_US = 150_000  # of the told time after a drain, where it is shorter or not told
-LONGEST_OBJECT = 1 << 20  # bytes: a longer object ends the watch
+TELL_US = 1_000_000  # between two log lines about lines of the list that make no sense
+
+
+class Place(NamedTuple):
+    """One push box: what the module is told of it, and where it listens, which only the wire needs."""
+
+    entry: i.ServerEntry
+    where: tuple[str, int]
 
 
 class BoxList:
@@ -33,267 +30,76 @@
         self.config = config
         self.desk = desk
         self.revision = 0
-        self.addresses: dict[str, tuple[str, int]] = {}
+        self.places: dict[str, Place] = {}
+        self.told_us = 0
 
     def address(self, box: str) -> tuple[str, int] | None:
         """Where a push box listens."""
-        return self.addresses.get(box)
+        place = self.places.get(box)
+        return place.where if place else None
 
     def take(self, told: dict[str, Any], whole: bool | None = None) -> None:
-        """Take one object of discovery's form."""
+        """Take one object of discovery's form: all of it is read first, then it counts at once. Raises ValueError,
+        and changes nothing, where it makes no sense."""
         full = bool(told.get("complete")) if whole is None else whole
-        entries = []
-        addresses = {} if full else dict(self.addresses)
-        for member in told.get("members") or ():
-            entry = self._entry(member)
-            if entry is None:
-                continue
+        members = told.get("members")
+        if not isinstance(members, list | None):
+            raise ValueError("members: not a list")
+        revision = _whole(told.get("revision") or self.revision, "revision")
+        places = {} if full else dict(self.places)
+        entries, bad = [], list[str]()
+        for member in members or ():
+            try:
+                place = self._place(member)
+            except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+                bad.append(repr(error))
+                known = self.places.get(str(member.get("id"))) if isinstance(member, dict) else None
+                if known is None or not full:
+                    continue
+                place = known  # guards against losing one that serves, for a slip in its line
+            entry = place.entry
             entries.append(entry)
             if entry.state is i.ServerState.GONE:
-                addresses.pop(entry.server, None)
+                places.pop(entry.server, None)
             else:
-                host, _, port = member["host_port"].rpartition(":")
-                addresses[entry.server] = host.strip("[]"), int(port)
-        self.addresses = addresses
-        self.revision = int(told.get("revision") or self.revision)
+                places[entry.server] = place
+        if bad:
+            self._tell(bad)
+        self.places, self.revision = places, revision
         self.desk.listed(i.ListUpdate(tuple(entries), full))
 
-    def _entry(self, member: Any) -> i.ServerEntry | None:
-        """One line of the list. A line that makes no sense is left out, the others stand."""
-        try:
-            config = self.config
-            state = STATES.get(member["phase"], i.ServerState.UNKNOWN)
-            if state is not i.ServerState.GONE and not member["host_port"].rpartition(":")[2].isdigit():
+    def _tell(self, bad: list[str]) -> None:
+        """Lines that make no sense: they are left out, the others stand. Logged once a second at most."""
+        self.desk.tally.add("bad_list_lines", len(bad))
+        now = self.desk.clock()
+        if now - self.told_us >= TELL_US:
+            self.told_us = now
+            log.warning("a line of the box list makes no sense: %s (and %d more in this list)", bad[0], len(bad) - 1)
+
+    def _place(self, member: Any) -> Place:
+        """One line of the list. Raises where it makes no sense."""
+        config = self.config
+        state = STATES.get(member["phase"], i.ServerState.UNKNOWN)
+        where = "", 0
+        if state is not i.ServerState.GONE:
+            host, _, port = member["host_port"].rpartition(":")
+            where = host.strip("[]"), _whole(int(port), "host_port")
+            if not host or not 0 < where[1] < 65536:
                 raise ValueError("host_port")
-            return i.ServerEntry(
-                str(member["id"]), state, _place(config.zones, member.get("locality")),
-                int(member.get("cell") or 0), _place(config.models, member.get("flavor")),
-                float(member.get("size") or 1.0), int(member.get("up_since_ms") or 0) * 1000)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            log.warning("a line of the box list makes no sense: %r", error)
-            self.desk.tally.add("bad_list_lines")
-            return None
+        weight = float(member.get("size") or 1.0)
+        if not math.isfinite(weight):
+            raise ValueError("size")
+        return Place(i.ServerEntry(
+            str(member["id"]), state, _number(config.zones, member.get("locality")),
+            int(member.get("cell") or 0), _number(config.models, member.get("flavor")),
+            weight, int(member.get("up_since_ms") or 0) * 1000), where)
 
 
-def _place(names: tuple[str, ...], name: object) -> int:
+def _number(names: tuple[str, ...], name: object) -> int:
     return names.index(str(name)) if name in names else 0
 
 
-class WatchLine(Lines):
-    """One watch: an HTTP answer in chunks, with one JSON object a line."""
-
-    def __init__(self, call: WatchCall) -> None:
-        self.call = call
-        self.state = "status"
-        self.chunked = False
-        self.missing = 0  # bytes of the present chunk still to come
-        self.text = b""
-
-    def connectionMade(self) -> None:
-        """Ask for the changes since the revision known."""
-        box_list, (host, port) = self.call.watch.box_list, self.call.where
-        transport = self.wire
-        transport.setTcpNoDelay(True)
-        transport.write(f"GET /discovery/hosts?stream=1&index={box_list.revision} HTTP/1.1\r\n"
-                        f"Host: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode())
-
-    def lineReceived(self, line: bytes) -> None:
-        """Status, headers, and the lines round chunks."""
-        try:
-            self._line(line)
-        except (ValueError, IndexError) as error:
-            self.call.over(f"not the answer of a box list: {error!r}")
-
-    def _line(self, line: bytes) -> None:
-        if self.state == "status":
-            status = line.split(b" ")[1]
-            if status != b"200":
-                self.call.over(f"status {status.decode('ascii', 'replace')}")
-            self.state = "headers"
-        elif self.state == "headers":
-            name, _, value = line.partition(b":")
-            if name.strip().lower() == b"transfer-encoding" and b"chunked" in value.lower():
-                self.chunked = True
-            if not line:
-                self.state = "size" if self.chunked else "raw"
-                if not self.chunked:
-                    self.read_bytes()
-        elif self.state == "size":
-            self.missing = int(line.partition(b";")[0], 16)
-            if self.missing == 0:
-                self.call.over("discovery ended the watch")
-            else:
-                self.state = "chunk"
-                self.read_bytes()
-        elif self.state == "chunk end":
-            self.state = "size"
-
-    def rawDataReceived(self, data: bytes) -> None:
-        """Bytes of a chunk, or of an answer that has none."""
-        if self.state == "raw":
-            self._take(data)
-            return
-        part, rest = data[:self.missing], data[self.missing:]
-        self.missing -= len(part)
-        self._take(part)
-        if self.missing == 0:
-            self.state = "chunk end"
-            self.read_lines(rest)
-
-    def _take(self, data: bytes) -> None:
-        *lines, self.text = (self.text + data).split(b"\n")
-        self.call.alive()
-        for line in lines:
-            if line.strip():
-                self.call.heard(line)
-        if len(self.text) > LONGEST_OBJECT:
-            self.call.over("an object without end")
-
-    def lineLengthExceeded(self, line: bytes) -> None:
-        """An overlong line ends this watch."""
-        self.call.over("an overlong line")
-
-    def connectionLost(self, reason: Any = None) -> None:
-        """Discovery ended the watch."""
-        super().connectionLost(reason)
-        self.call.over("the connection ended")
-
-
-class WatchCall(ClientFactory):
-    """One call for a watch. It ends once, with one word to the desk unless a newer call took its place."""
-
-    noisy = False
-
-    def __init__(self, watch: ListWatch) -> None:
-        self.watch = watch
-        self.where = watch.where
-        self.news = False
-        self.line: WatchLine | None = None
-        self.ended = False
-        self.connector: Any = None
-        self.patience_us = watch.retry_us if watch.pushed else ANSWER_US
-        self.silence: Timer = self._wait(self.patience_us)
-
-    def buildProtocol(self, addr: object) -> WatchLine:
-        """The connection stands."""
-        self.line = WatchLine(self)
-        return self.line
-
-    def clientConnectionFailed(self, connector: object, reason: object) -> None:
-        """Refused."""
-        self.over("discovery refused the connection")
-
-    def alive(self) -> None:
-        """Something came."""
-        if self.ended:
-            return
-        self.silence.cancel()
-        self.patience_us = SILENCE_US
-        self.silence = self._wait(self.patience_us)
-
-    def _wait(self, patience_us: int) -> Timer:
-        return self.watch.desk.after(patience_us, partial(self._silent, self.watch.desk.clock() + patience_us))
-
-    def _silent(self, due_us: int) -> None:
-        """Guards against a watch cut off without a word: news told meanwhile would stand unheard."""
-        if self.watch.desk.clock() - due_us > self.patience_us // 2:
-            # This relay was held up, and may not have read yet what came. Guards against ending each call unread.
-            self.silence = self._wait(self.patience_us)
-        else:
-            self.over("no sign of life")
-
-    def heard(self, line: bytes) -> None:
-        """One object."""
-        if self.ended:
-            return
-        try:
-            told = json.loads(line)
-            if not isinstance(told, dict):
-                raise ValueError("not an object")
-        except ValueError as error:
-            self.over(f"not JSON: {error}")
-            return
-        if not self.news:
-            self.news = True
-            self.watch.failures = 0
-            log.info("box list from %s:%d: revision %s, %s, %d lines", *self.where, told.get("revision"),
-                     "whole" if told.get("complete") else "changes", len(told.get("members") or ()))
-        self.watch.box_list.take(told)
-        self.watch.desk.lifecycle.has_news()
-
-    def over(self, why: str) -> None:
-        """End this call and tell the desk."""
-        if not self.ended:
-            self.close()
-            self.watch.lost(why)
-
-    def close(self) -> None:
-        """End this call without a word."""
-        self.ended = True
-        self.silence.cancel()
-        if self.line and self.line.transport:
-            self.line.wire.abortConnection()
-        elif self.connector is not None:
-            self.connector.disconnect()
-
-
-class ListWatch:
-    """The desk's port to discovery. Where lists are asked for, the module says when to call, as every call costs a
-    service that all relays share. Where they are pushed, an agent on this machine has them, answers at no cost, and
-    what it has counts as told, watch or not: so this port itself keeps a watch open from the start on."""
-
-    def __init__(self, reactor: Reactor, desk: Desk, box_list: BoxList, where: tuple[str, int]) -> None:
-        self.reactor = reactor
-        self.desk = desk
-        self.box_list = box_list
-        self.where = where
-        self.call: WatchCall | None = None
-        self.called_us = 0  # when the last call began
-        self.failures = 0  # calls in a row that brought nothing
-
-    @property
-    def pushed(self) -> bool:
-        """Whether the lists come from an agent unasked."""
-        return not self.desk.settings.ask_for_list
-
-    @property
-    def retry_us(self) -> int:
-        """Shortest time between the starts of two calls to the agent, and its time for an answer: a third of what
-        settings allow after a drain is told."""
-        return max(self.desk.settings.drain_grace_us, LEAST_GRACE_US) // 3
-
-    def lost(self, why: str) -> None:
-        """A call failed, or the watch ended."""
-        if not self.pushed:
-            self.desk.list_lost(why)
-            return
-        self.desk.tally.add("list_errors")
-        if not self.failures:  # one line for an outage, not one for each call
-            log.warning("the agent's watch is lost: %s; calling again", why)
-        self.failures += 1
-        # At once, but at a pace: an agent that refuses, or ends each call, is asked on until it is back.
-        self.desk.after(max(0, self.called_us + self.retry_us - self.desk.clock()), self.watch)
-
-    def watch(self) -> None:
-        """Ask for a watch, unless one is on: a retry that was set for a watch that has since been replaced
-        must not cost the new one its place in discovery's queue."""
-        if self.call is None or self.call.ended:
-            self._call()
-
-    def go_to(self, where: tuple[str, int]) -> None:
-        """Discovery is elsewhere now. The old watch ends here and now: nothing late from it counts, and its
-        end is no news. The numbers of its revisions mean nothing at the new address, so all is asked for."""
-        self.where = where
-        self.box_list.revision = 0
-        self.close()
-        self._call()
-
-    def close(self) -> None:
-        """The relay ends."""
-        if self.call:
-            self.call.close()
-
-    def _call(self) -> None:
-        self.called_us = self.desk.clock()
-        self.call = WatchCall(self)
-        self.call.connector = self.reactor.connectTCP(*self.where, self.call, timeout=None)
+def _whole(value: object, what: str) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise ValueError(f"{what}: {value!r} is no whole number")
+    return value
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -26,10 +26,11 @@
 from .fleet.switch import load as load_fleet
 from .net.asker import LoadAsker
 from .net.boxleg import PlatformCaller
-from .net.boxlist import BoxList, ListWatch
+from .net.boxlist import BoxList
 from .net.closing import PART, Closing
 from .net.front import PlatformFront
 from .net.reactor import Clock, Driver, Reactor
+from .net.watch import ListWatch
 from .ops.door import Answer, Door
 from .ops.figures import lines
 from .quic.switch import FILE
@@ -75,7 +76,10 @@
         at_once = config.socket_fd is not None or self.list_watch.pushed
         if at_once:
             desk.lifecycle.await_news()
-        self.box_list.take(config.known, whole=True)
+        try:
+            self.box_list.take(config.known, whole=True)
+        except ValueError as error:
+            raise ConfigError(f"known: {error}") from None
         legs = Closing(desk, config.sockets // PART)
         self.front = PlatformFront(config, desk, PlatformCaller(reactor, self.box_list.address, legs), legs)
         if quic:  # imported only where it is on: its libraries cost a start time and memory
--- a/tests/loop.py
+++ b/tests/loop.py
@@ -118,7 +118,7 @@
         self.stopped = 0
         self.reactor.stop = self._stop
         self.folder = folder
-        self.known = {"revision": 1, "complete": True, "members": [
+        self.known: dict[str, Any] = {"revision": 1, "complete": True, "members": [
             {"id": f"box-{n}", "host_port": f"127.0.0.1:{b.port}", "locality": "kgn-1", "flavor": "quad-fast",
              "cell": n, "phase": (phases or {}).get(n, "SERVING"), "size": 1.0, "up_since_ms": 0}
             for n, b in enumerate(backends)]}
--- /dev/null
+++ b/tests/test_moments_list.py
@@ -0,0 +1,185 @@
+"""Rare moments of the list: watches that fall silent, drip, end in the middle, or bring lists in odd forms."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from lab.town import settings
+from milletdeal import interface as i
+
+from .loop import Backend, Loop, Peer
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TOLD_US = 6_000_000  # what a silent watch misses counts as told then
+SLACK_US = 50_000
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def watch(loop: Loop, head: bytes = HEAD) -> Peer:
+    """The relay's next call, answered up to the first object."""
+    loop.until(lambda: loop.wait(20_000) or loop.discovery.called)
+    call = loop.discovery.accept()
+    loop.until(lambda: call.read().endswith(b"\r\n\r\n"))
+    call.send(head)
+    return call
+
+
+def change(loop: Loop, number: int, phase: str, revision: int, **more: object) -> dict[str, Any]:
+    member = {**loop.known["members"][number], "phase": phase, **more}
+    return {"revision": revision, "complete": False, "members": [member]}
+
+
+def line(told: object, **form: Any) -> bytes:
+    return json.dumps(told, **form).encode() + b"\n"
+
+
+def drains(loop: Loop, box: str = "box-0") -> bool:
+    return loop.desk.boxes.get(box) is i.ServerState.DRAINING
+
+
+def pair(folder: Path, **told: Any) -> Loop:
+    return Loop(folder, [Backend(), Backend()], {**settings(), **told})
+
+
+@pytest.mark.parametrize("mode", ["ask", "push"])
+@pytest.mark.parametrize("stalls_us", [0, 1_600_000, 2_000_000])
+def test_what_a_silent_watch_missed_is_known_in_time_though_the_relay_is_held_up(tmp_path: Path, mode: str,
+                                                                                stalls_us: int) -> None:
+    loop = pair(tmp_path, discovery=mode)
+    first = watch(loop)
+    first.send(chunk(line(loop.known)))
+    loop.until(lambda: loop.desk.boxes and loop.relay.list_watch.failures == 0
+               and loop.desk.lifecycle.takes_clients)
+    loop.step(3)
+    silent_us = loop.now_us  # from here on nothing comes; the drain is told to nobody
+    if stalls_us:  # the loop is held up right as the silence is to be noticed
+        loop.wait(2_990_000, 20_000)
+        loop.now_us += stalls_us
+        loop.step(2)
+    second = watch(loop)
+    second.send(chunk(line(change(loop, 0, "DRAINING", 2))))
+    loop.until(lambda: drains(loop))
+    assert loop.now_us - silent_us < TOLD_US + SLACK_US
+
+
+@pytest.mark.parametrize("drip", ["half an object", "headers", "blanks in a line"])
+def test_bytes_that_make_no_object_are_no_sign_of_life(tmp_path: Path, drip: str) -> None:
+    loop = pair(tmp_path)
+    first = watch(loop, b"" if drip == "headers" else HEAD)
+    if drip != "headers":
+        first.send(chunk(line(loop.known)))
+    began = loop.now_us
+    for n in range(20):
+        if loop.discovery.called:
+            break
+        part = {"half an object": chunk(b'{"revision":' if not n else b"4"), "headers": b"X",
+                "blanks in a line": chunk(b" ")}[drip]
+        first.send(part)
+        loop.wait(400_000, 20_000)
+    loop.until(lambda: loop.wait(20_000) or loop.discovery.called)
+    assert loop.now_us - began < TOLD_US - 1_000_000
+
+
+@pytest.mark.parametrize("size", [1, 7, 100_000])
+@pytest.mark.parametrize("form", ["a line", "indented", "indented, ends without a line's end", "two on a line",
+                                  "braces in names", "CRLF"])
+def test_objects_are_read_in_any_form_and_any_division_of_bytes(tmp_path: Path, form: str, size: int) -> None:
+    loop = pair(tmp_path)
+    first = watch(loop)
+    told = change(loop, 0, "DRAINING", 7)
+    whole = line({**loop.known, "revision": 3}, indent=2 if "indented" in form else None)
+    text = {"a line": whole + line(told), "indented": whole + line(told, indent=2),
+            "indented, ends without a line's end": whole + line(told, indent=2).rstrip(),
+            "two on a line": whole.rstrip() + line(told),
+            "braces in names": whole + line({**told, "note": 'a "}{" \\ of \u00fc', "odd}": "{"}, ensure_ascii=False),
+            "CRLF": (whole + line(told, indent=1)).replace(b"\n", b"\r\n")}[form]
+    for at in range(0, len(text), size):
+        first.send(chunk(text[at:at + size]))
+        loop.step()
+    loop.until(lambda: drains(loop))
+    assert loop.desk.serves("box-1") and loop.relay.box_list.revision == 7
+    assert not loop.desk.tally.counts["list_errors"] and not loop.desk.tally.counts["exceptions"]
+
+
+@pytest.mark.parametrize("text", [
+    b"not JSON at all\n", b'{"revision": x}\n', b'["a list"]\n', b"7\n", b'{"a": "\n"}\n',
+    b'{"revision":3,"members":[}\n', b"\xff\xfe\n"])
+def test_what_is_no_list_ends_the_watch_at_once_and_changes_nothing(tmp_path: Path, text: bytes) -> None:
+    loop = pair(tmp_path)
+    first = watch(loop)
+    first.send(chunk(text))
+    began = loop.now_us
+    loop.until(lambda: loop.desk.tally.counts["list_errors"] == 1)
+    assert loop.now_us == began
+    loop.until(lambda: loop.wait(4_000) or loop.discovery.called)
+    assert loop.desk.serves("box-0") and loop.desk.serves("box-1")
+
+
+@pytest.mark.parametrize("bad", [{"revision": "x"}, {"revision": [1]}, {"members": 7}, {"members": {"a": 1}},
+                                 {"revision": 1e400}])
+def test_a_list_is_taken_whole_or_not_at_all(tmp_path: Path, bad: dict[str, Any]) -> None:
+    loop = pair(tmp_path)
+    first = watch(loop)
+    moved = {**loop.known["members"][0], "host_port": "127.0.0.1:1"}
+    first.send(chunk(line({"revision": 5, "complete": True, "members": [moved], **bad})))
+    loop.until(lambda: loop.desk.tally.counts["list_errors"] == 1)
+    assert loop.desk.serves("box-0") and loop.desk.serves("box-1")
+    assert loop.relay.box_list.address("box-0") != ("127.0.0.1", 1)
+    assert loop.relay.box_list.revision == 1 and not loop.desk.tally.counts["exceptions"]
+
+
+@pytest.mark.parametrize("bad", [{"host_port": "nowhere"}, {"host_port": None}, {"size": "big"},
+                                 {"up_since_ms": "x"}, {"size": float("nan")}, {"host_port": "127.0.0.1:99999"}])
+def test_a_known_backend_stays_where_a_whole_list_tells_it_badly(tmp_path: Path, bad: dict[str, Any]) -> None:
+    loop = pair(tmp_path)
+    first = watch(loop)
+    told = {**loop.known, "revision": 9, "members": [{**loop.known["members"][0], **bad}, loop.known["members"][1]]}
+    first.send(chunk(line(told)))
+    loop.until(lambda: loop.relay.box_list.revision == 9)
+    assert loop.desk.serves("box-0") and loop.desk.serves("box-1")
+    assert loop.relay.box_list.address("box-0") and loop.desk.tally.counts["bad_list_lines"] == 1
+    first.send(chunk(line({**loop.known, "revision": 10, "members": loop.known["members"][1:]})))
+    loop.until(lambda: loop.relay.box_list.revision == 10)
+    assert "box-0" not in loop.desk.boxes, "a whole list without it means that it is gone"
+
+
+def test_the_news_of_a_watch_that_was_replaced_count_for_nothing(tmp_path: Path) -> None:
+    loop = pair(tmp_path)
+    old = watch(loop)
+    old.send(chunk(line(loop.known)))
+    loop.until(lambda: loop.relay.list_watch.call and loop.relay.list_watch.call.news)
+    call = loop.relay.list_watch.call
+    assert call and call.line
+    loop.order.held.add(call.line.wire.fileno())
+    old.send(chunk(line(change(loop, 1, "DELETED", 40))))  # under way as another address is told
+    other = Backend()
+    loop.discovery = other
+    loop.relay.list_watch.go_to(("127.0.0.1", other.port))
+    loop.order.held.clear()
+    new = watch(loop)
+    assert b"index=0" in new.got, "revisions of one address mean nothing at another"
+    new.send(chunk(line({**loop.known, "revision": 2})))
+    loop.until(lambda: loop.relay.box_list.revision == 2)
+    loop.step(5)
+    assert loop.desk.serves("box-1")
+
+
+def test_a_watch_that_ends_in_the_middle_of_an_object_is_opened_anew_from_the_last_whole_one(tmp_path: Path) -> None:
+    loop = pair(tmp_path)
+    first = watch(loop)
+    first.send(chunk(line({**loop.known, "revision": 4})))
+    loop.until(lambda: loop.relay.box_list.revision == 4)
+    first.send(chunk(line(change(loop, 0, "DRAINING", 5))[:60]))
+    first.close(reset=True)
+    second = watch(loop)
+    assert b"index=4" in second.got and loop.desk.serves("box-0")
+    second.send(chunk(line(change(loop, 0, "DRAINING", 3))))  # revisions may go back after an outage
+    loop.until(lambda: drains(loop))
+    assert loop.relay.box_list.revision == 3
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -15,8 +15,9 @@
 
 from gradefront.config import Config, ConfigError, address, parse
 from gradefront.net.asker import LoadAsker
-from gradefront.net.boxlist import BoxList, ListWatch
+from gradefront.net.boxlist import BoxList
 from gradefront.net.lines import BadLine, read_first, read_id, read_report
+from gradefront.net.watch import ListWatch
 from lab.town import settings
 from milletdeal import interface as i
 
@@ -95,7 +96,7 @@
     assert boxes.address("s-1") == ("127.0.0.1", 3000) and boxes.address("s-9") is None
     assert boxes.revision == 4 and bench.desk.tally.counts["bad_list_lines"] == 5
     boxes.take({"revision": 5, "complete": False, "members": [{"id": "s-1", "phase": "DELETED"}]})
-    assert boxes.address("s-1") is None and not bench.desk.serves("s-1") and not boxes.addresses
+    assert boxes.address("s-1") is None and not bench.desk.serves("s-1") and not boxes.places
 
 
 @pytest.mark.parametrize("text", ["", "x", "x:", ":1", "h:70000", "h:p"])
@@ -132,7 +133,7 @@
     assert old
     watch.go_to(("127.0.0.1", 2))
     watch.watch()  # a retry that the module had set for the old watch
-    old.heard(b'{"revision": 9, "complete": true, "members": []}')
+    old.take(b'{"revision": 9, "complete": true, "members": []}')
     old.over("the connection ended")
     bench.wait(1_000_000)
     assert dials.dialled == [1, 2] and watch.box_list.revision == 0
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -13,10 +13,11 @@
 
 from gradefront.net.asker import AskLine, BoxAsking, LoadAsker
 from gradefront.net.boxleg import PlatformLeg
-from gradefront.net.boxlist import BoxList, ListWatch, WatchCall
+from gradefront.net.boxlist import BoxList
 from gradefront.net.closing import Closing
 from gradefront.net.front import PlatformFront
 from gradefront.net.lines import FirstLine
+from gradefront.net.watch import ListWatch, WatchCall
 from milletdeal import interface as i
 
 from .helper import Bench, Leg
@@ -112,7 +113,7 @@
     line.makeConnection(Piped())
     for part in parts:
         line.dataReceived(part)
-    return box_list.revision, box_list.addresses, sorted(bench.desk.boxes)
+    return box_list.revision, box_list.places, sorted(bench.desk.boxes)
 
 
 WHOLE: dict[Callable[[list[bytes]], object], bytes] = {
