Hear an unread drain before a send, drop stray probe answers, give up waits past a window

Ruled out by tests that were green before: a window that closes while a connection comes up, what may have run of an unsafe class (reset, half an answer, time-out), attempts given up before they came up, clients that leave by hundreds in a backoff, a connect or after a connect time-out, seven broken answers, an answer in the turn in which its time is over, a move that meets the backend's own BYE, MOVE, half line or reset, an idle probe connection closed as it is used, floods that send and go, stops at five odd moments.

Change: the watch is read once more before a first byte is written (ListWatch.catch_up, the same peek as for a client that left); a line nobody asked for ends a probe's connection; a keyed wait ends inside its window or is given up at once.

--- a/gradefront/core/brought.py
+++ b/gradefront/core/brought.py
@@ -1,4 +1,4 @@
-"""Visits that stood before this relay started: each goes to its own push box only, up to a limit."""
+"""Visits that stood before this relay started, each at its own push box; and those that go on in the next one."""
 
 from __future__ import annotations
 
@@ -8,8 +8,9 @@
 
 from milletdeal import interface as i
 
-from .shortfall import Shortfall
-from .visit import Stage, Visit
+from .shortfall import Cause, Shortfall
+from .tally import Tally
+from .visit import Attempt, Stage, Visit
 from .wheel import Timer
 
 log = logging.getLogger("gradefront.brought")
@@ -24,6 +25,7 @@
     """What of the desk this part uses."""
 
     clock: Callable[[], int]
+    tally: Tally
 
     def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
         """Run `then` later."""
@@ -31,10 +33,26 @@
     def reach_out(self, visit: Visit, box: str, until_us: int) -> None:
         """Begin an attempt."""
 
+    def over(self, visit: Visit) -> None:
+        """The end of a visit, as far as the desk goes."""
+
+    def tell_end(self, attempt: Attempt, shortfall: Shortfall, final: bool) -> None:
+        """Tell the module how an attempt ended."""
+
     def answer(self, visit: Visit, answer: i.Refuse | i.Fail | None) -> None:
         """The one final answer."""
 
 
+def given_away(core: Core, visit: Visit) -> None:
+    """A standing visit goes on in the next process; nothing of it ends."""
+    attempt = visit.attempt
+    assert visit.stage is Stage.STANDING and attempt
+    core.over(visit)
+    attempt.over = True
+    core.tally.add("given_away")
+    core.tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
+
+
 def once_more(core: Core, visit: Visit, shortfall: Shortfall) -> None:
     """An attempt of such a visit failed: try again after a while, or answer."""
     visit.step(Stage.WAITING)
--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -166,6 +166,11 @@
         self.tally.add("list_errors")
         self.put(i.ListError())
 
+    @property
+    def begins(self) -> bool:
+        """Whether anything new is begun."""
+        return self.lifecycle.begins
+
     def serves(self, box: str) -> bool:
         """Whether the box list, as last heard, lets new work go there."""
         return self.boxes.get(box) is i.ServerState.READY
@@ -182,20 +187,20 @@
         """A carer's device asks to be connected."""
         visit = self._new(call, carer, caller, max(1, call.patience_us - ANSWER_MARGIN_US))
         self.tally.add("visits")
-        if not self.lifecycle.begins:  # read after the last answers: it is answered at once, and never sent on
+        if not self.begins:  # read after the last answers: it is answered at once, and never sent on
             self.answer(visit, i.Refuse(visit.number))
             return visit
         if call.came_back:
             self.tally.add("visits_came_back")
         visit.watch = self.wheel.set(visit.deadline_us + NET_US, partial(self._overdue, visit))
-        self.put(self._request(visit))
+        self.put(visit.request(self.clock()))
         return visit
 
     def bring_over(self, call: Call, carer: CarerSide, caller: BoxCaller, box: str) -> Visit:
         """A visit that stood at `box` before this relay started: it goes there and nowhere else."""
         visit = self._new(call, carer, caller, BROUGHT_US, box)
         self.tally.add("visits_brought")
-        if not self.lifecycle.begins:
+        if not self.begins:
             self.answer(visit, None)
             return visit
         visit.watch = self.after(BROUGHT_US, partial(self._overdue, visit))
@@ -213,18 +218,9 @@
         attempt.reach, attempt.heard_us = Reach.UP, heard_us
         attempt.asked.extend(asked_us)
         visit.attempts = 1
-        self.put(i.OpenConnection(self._request(visit), box))
+        self.put(i.OpenConnection(visit.request(self.clock()), box))
         return visit, attempt
 
-    def given_away(self, visit: Visit) -> None:
-        """A standing visit goes on in the next process; nothing of it ends."""
-        attempt = visit.attempt
-        assert visit.stage is Stage.STANDING and attempt
-        self._over(visit)
-        attempt.over = True
-        self.tally.add("given_away")
-        self._tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
-
     def _new(self, call: Call, carer: CarerSide, caller: BoxCaller, patience_us: int,
              pinned: str = "") -> Visit:
         now = self.clock()
@@ -232,11 +228,6 @@
         self.visits[visit.number] = visit
         return visit
 
-    def _request(self, visit: Visit) -> i.Request:
-        call = visit.call
-        return i.Request(visit.number, max(1, visit.deadline_us - self.clock()), call.klass, call.tenant,
-                         call.key, call.group, call.load_hint, False, call.came_back, call.is_retry)
-
     def carer_left(self, visit: Visit, how: Ending) -> None:
         """The carer's device ended its side. Nothing more is owed to it."""
         if visit.stage is Stage.ENDED:
@@ -245,11 +236,11 @@
         self.tally.add("ended_by_carer" if standing else "gave_up_waiting")
         if not standing and not visit.pinned:
             self.put(i.ClientGone(visit.number))
-        self._over(visit)
+        self.over(visit)
         if attempt:
             attempt.close(how)
             if standing or not visit.pinned:
-                self._tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
+                self.tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
 
     def _overdue(self, visit: Visit) -> None:
         """The safety net under the module: an answer in time, whatever happened."""
@@ -279,10 +270,10 @@
         if visit.stage is Stage.ENDED:
             return
         standing, attempt = visit.stage is Stage.STANDING, visit.attempt
-        self._over(visit)
+        self.over(visit)
         if attempt:  # only where the core itself gave up: the module answers when nothing is out
             attempt.close(Ending.ORDERLY)
-            self._tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
+            self.tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
         if standing:
             visit.carer.move()
         elif isinstance(answer, i.Refuse):
@@ -294,7 +285,8 @@
             self.count("errored_total", visit.call.klass)
             visit.carer.fail()
 
-    def _over(self, visit: Visit) -> None:
+    def over(self, visit: Visit) -> None:
+        """The end of a visit, as far as the desk goes."""
         visit.step(Stage.ENDED)
         visit.attempt = None
         if visit.watch:
@@ -306,11 +298,10 @@
     def _start(self, start: i.Start) -> None:
         visit = self.visits.get(start.request)
         if visit is None or visit.stage is not Stage.WAITING or visit.attempts >= visit.settings.max_attempts \
-                or not self.lifecycle.begins:
+                or not self.begins:
             # Guards against a send after the end, a second copy, and one attempt too many.
-            final = visit is None or visit.stage is Stage.STANDING
-            self.put(i.Outcome(start.request, visit.attempts if visit else 0, start.server, i.Result.MOOT,
-                               final))
+            final, number = visit is None or visit.stage is Stage.STANDING, visit.attempts if visit else 0
+            self.put(i.Outcome(start.request, number, start.server, i.Result.MOOT, final))
             return
         self.reach_out(visit, start.server, min(visit.deadline_us, self.clock() + start.timeout_us))
 
@@ -328,16 +319,6 @@
         if attempt.over:  # it ended at once, before its leg was known here
             attempt.leg.hang_up(Ending.ORDERLY)
 
-    def barred(self, attempt: Attempt) -> Cause | None:
-        """Why its request may not leave any more, now that its first byte is about to be written; None: it may."""
-        visit = attempt.visit
-        if not attempt.over and visit.carer.has_left():  # the end of its side may lie unread yet
-            self.carer_left(visit, Ending.ORDERLY)
-        if attempt.over or not self.lifecycle.begins or not visit.may_repeat(self.clock()):
-            return Cause.NOT_TRIED
-        # Guards against a late connect that delivers new work to a push box that has meanwhile been told to drain.
-        return None if visit.pinned or self.serves(attempt.box) else Cause.BROKEN
-
     def came(self, attempt: Attempt) -> None:
         """An attempt came further: from the connect's patience to the whole attempt's."""
         attempt.wrote_us = attempt.wrote_us or self.clock()
@@ -358,10 +339,9 @@
             if timer:
                 timer.cancel()
         if visit.pinned:
-            self.put(i.OpenConnection(self._request(visit), attempt.box))
+            self.put(i.OpenConnection(visit.request(self.clock()), attempt.box))
         else:
-            took = now - attempt.began_us
-            self.put(i.Established(visit.number, attempt.number, attempt.box, took))
+            self.put(i.Established(visit.number, attempt.number, attempt.box, now - attempt.began_us))
         self.tally.add("stood")
         self.count("answered_total", visit.call.klass)
         assert attempt.leg is not None
@@ -374,8 +354,8 @@
         attempt.close(how)
         self.tally.add(f"ended: {shortfall}")
         if standing:
-            self._over(visit)
-            self._tell_end(attempt, shortfall, True)
+            self.over(visit)
+            self.tell_end(attempt, shortfall, True)
             visit.carer.end(how)
         elif visit.pinned:
             once_more(self, visit, shortfall)
@@ -384,9 +364,10 @@
             visit.attempt = None
             if shortfall.result not in i.NEVER_RAN:
                 visit.ran_us = visit.ran_us or attempt.wrote_us
-            self._tell_end(attempt, shortfall, False)
+            self.tell_end(attempt, shortfall, False)
 
-    def _tell_end(self, attempt: Attempt, shortfall: Shortfall, final: bool) -> None:
+    def tell_end(self, attempt: Attempt, shortfall: Shortfall, final: bool) -> None:
+        """Tell the module how an attempt ended."""
         took = self.clock() - attempt.began_us
         self.put(i.Outcome(attempt.visit.number, attempt.number, attempt.box, shortfall.result, final, took,
                            attempt.report))
@@ -398,11 +379,11 @@
         attempt = visit.attempt
         if visit.stage is not Stage.STANDING or attempt is None:
             return
-        self._over(visit)
+        self.over(visit)
         self.tally.add("moved")
         visit.carer.move()
         attempt.close(Ending.ORDERLY)
-        self._tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
+        self.tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
 
     def told_visit_load(self, attempt: Attempt, load: float) -> None:
         """A push box told a visit's load, in microseconds of work a second."""
@@ -413,7 +394,7 @@
         attempt = visit.attempt
         assert attempt
         self.tally.add("moved_from_silent")
-        self._over(visit)
+        self.over(visit)
         visit.carer.move()
         attempt.close(Ending.BROKEN)
-        self._tell_end(attempt, Shortfall(Reach.UP, Cause.CALLED_OFF if alone else Cause.SILENT), True)
+        self.tell_end(attempt, Shortfall(Reach.UP, Cause.CALLED_OFF if alone else Cause.SILENT), True)
--- a/gradefront/core/ports.py
+++ b/gradefront/core/ports.py
@@ -76,6 +76,9 @@
     def watch(self) -> None:
         """Ask for the changes since the newest list known, from now on."""
 
+    def catch_up(self) -> None:
+        """Take the news that are here already, if not heard yet."""
+
 
 class Decider(Protocol):
     """The decision module, as the desk uses it."""
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -7,9 +7,9 @@
 from enum import Enum
 from typing import Protocol
 
-from milletdeal.interface import LoadReport, Repeat, Settings
+from milletdeal.interface import LoadReport, Repeat, Request, Settings
 
-from .ports import BoxLeg, Call, CarerSide, Ending
+from .ports import BoxLeg, Call, CarerSide, Ending, ListWatcher
 from .shortfall import Cause, Reach, Shortfall
 from .wheel import Timer
 
@@ -31,6 +31,7 @@
     """Whom an attempt tells how far it came."""
 
     clock: Callable[[], int]
+    watcher: ListWatcher | None
 
     @property
     def liveness(self) -> Liveness:
@@ -39,8 +40,15 @@
     def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
         """Run `then` later."""
 
-    def barred(self, attempt: Attempt) -> Cause | None:
-        """Why its request may not leave any more."""
+    def serves(self, box: str) -> bool:
+        """Whether new work may go to a push box, as last heard."""
+
+    @property
+    def begins(self) -> bool:
+        """Whether the relay begins anything new."""
+
+    def carer_left(self, visit: Visit, how: Ending) -> None:
+        """The carer's device ended its side."""
 
     def came(self, attempt: Attempt) -> None:
         """It came further."""
@@ -111,6 +119,12 @@
         """Whether to come again is harmless: nothing was sent, or its effects may be had twice."""
         return not self.attempts or self.settings.classes[self.call.klass].repeat is Repeat.SAFE
 
+    def request(self, now_us: int) -> Request:
+        """What the module is told of it."""
+        call = self.call
+        return Request(self.number, max(1, self.deadline_us - now_us), call.klass, call.tenant, call.key, call.group,
+                       call.load_hint, False, call.came_back, call.is_retry)
+
     def may_repeat(self, now_us: int) -> bool:
         """Whether a further attempt doubles no effect. Asked when it is written: the module decides earlier, and a
         window may close while a connection comes up."""
@@ -152,7 +166,17 @@
 
     def barred(self) -> Cause | None:
         """Why the request may not leave any more, asked as its first byte is about to be written; None: it may."""
-        return self.desk.barred(self)
+        visit, desk = self.visit, self.desk
+        if not self.over and visit.carer.has_left():  # the end of its side may lie unread yet
+            desk.carer_left(visit, Ending.ORDERLY)
+        if self.over or not desk.begins or not visit.may_repeat(desk.clock()):
+            return Cause.NOT_TRIED
+        if visit.pinned:
+            return None
+        # Guards against a late connect that delivers new work to a push box that has meanwhile been told to drain.
+        if desk.watcher:
+            desk.watcher.catch_up()
+        return None if desk.serves(self.box) else Cause.BROKEN
 
     def left_us(self) -> int:
         """How long this relay will still wait for the push box's answer."""
--- a/gradefront/net/asker.py
+++ b/gradefront/net/asker.py
@@ -87,6 +87,9 @@
 
     def answered(self, line: bytes) -> None:
         """`PONG` with the figures; any other line is no success."""
+        if not self.asked_us:  # nobody asked: the next answer on this connection could be that of an earlier question
+            self.drop()
+            return
         good = line.partition(b" ")[0] == b"PONG"
         self._done(i.Result.OK if good else i.Result.ERROR, read_report(line) if good else None)
 
--- a/gradefront/net/base.py
+++ b/gradefront/net/base.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from typing import Any, cast
 
 from twisted.internet.error import ConnectionDone
@@ -49,6 +50,20 @@
         if self.closing_in:
             self.closing_in.over(self)
 
+    def catch_up(self) -> bool:
+        """Take what lies unread on this connection. Whether the other end has ended its side, be it heard of or not:
+        the loop may be busy with what came up beside it."""
+        while self.closing_in is None:
+            try:
+                if not self.wire.socket.recv(1, socket.MSG_PEEK):
+                    return True
+            except BlockingIOError:
+                return False
+            except (OSError, AttributeError):  # a transport that has ended has no socket
+                return True
+            self.wire.doRead()
+        return True
+
     def unfinished(self) -> bytes:
         """What has come of a line that has no end yet."""
         return cast(bytes, cast(Any, self).clearLineBuffer())
--- a/gradefront/net/front.py
+++ b/gradefront/net/front.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import logging
-import socket
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
@@ -181,16 +180,7 @@
 
     def has_left(self) -> bool:
         """Whether the device has ended its side, even where that lies unread. What it sent before that is taken."""
-        while not self.closing:
-            try:
-                if not self.wire.socket.recv(1, socket.MSG_PEEK):
-                    return True
-            except BlockingIOError:
-                return False
-            except OSError:
-                return True
-            self.wire.doRead()
-        return True
+        return self.catch_up()
 
     def cut(self) -> None:
         """End at once."""
--- a/gradefront/net/watch.py
+++ b/gradefront/net/watch.py
@@ -226,6 +226,12 @@
         if self.call is None or self.call.ended:
             self._call()
 
+    def catch_up(self) -> None:
+        """Take what lies unread on the watch: a drain that was told a moment ago counts for what is sent now."""
+        call = self.call
+        if call and not call.ended and call.line and call.line.connected:
+            call.line.catch_up()
+
     def go_to(self, where: tuple[str, int]) -> None:
         """Discovery is elsewhere now. The old watch ends here and now: nothing late from it counts, and its
         end is no news. The numbers of its revisions mean nothing at the new address, so all is asked for."""
--- a/gradefront/state/handover.py
+++ b/gradefront/state/handover.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+from gradefront.core.brought import given_away
 from gradefront.core.desk import Desk
 from gradefront.core.ports import Call
 from gradefront.core.visit import Stage, Visit
@@ -133,7 +134,7 @@
         release(theirs)
         self.front.open -= 1
         carer.closing, leg.gone = True, True
-        self.desk.given_away(visit)
+        given_away(self.desk, visit)
         return True
 
 
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -187,7 +187,10 @@
         """Wait the next full-jitter delay and consider other servers, or give up at once."""
         job.rounds += 1
         wait = self._jitter(job.klass.aim_us * BASE_PART, job.klass.deadline_us * CAP_PART, job.rounds - 1)
-        if job.rounds >= job.most or self.now + wait + 2 * self.s.resolution_us >= job.deadline:
+        # Guards against a wait in vain: past the window of its first try no keyed request goes out again.
+        keyed = job.ran and job.klass.repeat is i.Repeat.KEYED
+        until = min(job.deadline, job.ran[0][1] + job.klass.dedup_window_us) if keyed else job.deadline
+        if job.rounds >= job.most or self.now + wait + 2 * self.s.resolution_us >= until:
             self._answer(job)
         else:
             job.turn += 1
--- a/tests/loop.py
+++ b/tests/loop.py
@@ -160,6 +160,11 @@
             self.step()
         return False
 
+    def release(self) -> bool:
+        """Nothing is held any more. False, as `wait` says it."""
+        self.order.held.clear()
+        return False
+
     def client(self) -> Peer:
         """A device that has connected and is at the door."""
         port = self.relay.port.getHost().port
--- a/tests/test_moments_list.py
+++ b/tests/test_moments_list.py
@@ -11,7 +11,7 @@
 from lab.town import settings
 from milletdeal import interface as i
 
-from .loop import Backend, Loop, Peer
+from .loop import Backend, Loop, Peer, arrived, hold_connects
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 TOLD_US = 6_000_000  # what a silent watch misses counts as told then
@@ -183,3 +183,44 @@
     second.send(chunk(line(change(loop, 0, "DRAINING", 3))))  # revisions may go back after an outage
     loop.until(lambda: drains(loop))
     assert loop.relay.box_list.revision == 3
+
+
+@pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
+def test_a_drain_that_lies_unread_as_a_connection_comes_up_counts(tmp_path: Path, phase: str) -> None:
+    backends = [Backend(), Backend()]
+    loop = Loop(tmp_path, backends)
+    first = watch(loop)
+    first.send(chunk(line(loop.known)))
+    call = loop.relay.list_watch.call
+    loop.until(lambda: call and call.news)
+    client = loop.client()
+    attempts = hold_connects(loop)
+    loop.open(client)
+    loop.until(lambda: loop.wait(4_000) or attempts)
+    number = int(attempts[0].box[-1])
+    assert call and call.line
+    loop.order.held = {call.line.wire.fileno()}  # the loop is busy with the turn in which the connection comes up
+    first.send(chunk(line(change(loop, number, phase, 8))))
+    arrived(call.line.wire.socket)
+    loop.until(lambda: attempts[0].over or attempts[0].wrote_us)
+    assert attempts[0].over, "sent to a backend after its drain was told"
+    other = backends[1 - number]
+    loop.until(lambda: loop.release() or loop.wait(4_000) or other.called)
+    at_other = other.accept()
+    loop.until(lambda: loop.release() or at_other.read().endswith(b"\r\n"))
+
+
+def test_discovery_that_returns_and_drains_at_once_is_heard_in_time_by_a_pushed_relay(tmp_path: Path) -> None:
+    loop = pair(tmp_path, discovery="push")
+    first = watch(loop)
+    first.send(chunk(line(loop.known)))
+    loop.until(lambda: loop.desk.lifecycle.takes_clients)
+    first.close(reset=True)
+    silent = [loop.discovery.accept() for _ in range(10) if loop.until(
+        lambda: loop.wait(20_000) or loop.discovery.called)]  # down: calls are taken and not answered
+    assert len(silent) == 10
+    returned_us = loop.now_us
+    back = watch(loop)
+    back.send(chunk(line(change(loop, 0, "DRAINING", 9))))
+    loop.until(lambda: drains(loop))
+    assert loop.now_us - returned_us < loop.desk.settings.drain_grace_us
--- /dev/null
+++ b/tests/test_moments_send.py
@@ -0,0 +1,293 @@
+"""Rare moments of attempts: windows that close, late connects, broken answers, clients that go, probes that cross."""
+
+from __future__ import annotations
+
+import select
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from gradefront.core.visit import Stage
+from lab.town import settings
+from milletdeal import Balancer
+from milletdeal import interface as i
+
+from .loop import Backend, Loop, Peer, arrived, hold_connects
+
+
+def ruled(effect: str, scope: str = "all", window_ms: int = 400, **more: Any) -> dict[str, Any]:
+    told = settings(**{"aim_ms": 300, "deadline_ms": 4000, **more})
+    for grade in told["grades"]:
+        grade.update(semantics=effect, keyScope=scope, dedupWindowUs=window_ms * 1000)
+    return told
+
+
+def called(backends: list[Backend]) -> tuple[int, Peer]:
+    """The backend that a connection waits at, and that connection."""
+    number = next(n for n, b in enumerate(backends) if b.called)
+    return number, backends[number].accept()
+
+
+def first_at(loop: Loop, backends: list[Backend]) -> tuple[int, Peer]:
+    loop.until(lambda: loop.wait(4_000) or any(b.called for b in backends))
+    number, peer = called(backends)
+    loop.until(lambda: peer.read().endswith(b"\r\n"))
+    return number, peer
+
+
+@pytest.mark.parametrize(("effect", "scope", "answer"), [
+    ("keyed", "all", b"BUSY"), ("keyed", "zone", b"ERR"), ("keyed", "cell", b"ERR"), ("safe", "all", b"")])
+def test_a_window_that_closes_while_a_connection_comes_up_lets_nothing_pass(tmp_path: Path, effect: str, scope: str,
+                                                                            answer: bytes) -> None:
+    backends = [Backend(), Backend(), Backend()]
+    told = ruled(effect, scope, 400, connectTimeoutUs=1_000_000)
+    loop = Loop(tmp_path, backends, told)
+    for member in loop.known["members"]:
+        member["cell"] = 1
+    loop.relay.box_list.take(loop.known, whole=True)
+    client = loop.client()
+    loop.open(client, d=4000)
+    number, peer = first_at(loop, backends)
+    written_us = loop.now_us
+    attempts = hold_connects(loop)
+    peer.close(reset=True)
+    loop.until(lambda: loop.wait(4_000) or attempts)
+    assert loop.now_us < written_us + 400_000
+    loop.now_us = written_us + 400_000
+    loop.order.held.clear()
+    second = next(n for n, b in enumerate(backends) if n != number and attempts[0].box == f"box-{n}")
+    loop.until(lambda: backends[second].called)
+    at_second = backends[second].accept()
+    loop.until(lambda: at_second.read() or attempts[0].over)
+    loop.step(4)
+    if effect == "safe":
+        assert b"OPEN" in at_second.read()
+        return
+    assert b"OPEN" not in at_second.read(), "a repeat outside the window of the first attempt"
+    loop.until(lambda: client.read().endswith(b"\r\n"))
+    assert client.got.split()[0] == answer
+
+
+@pytest.mark.parametrize("scope", [i.Scope.ALL, i.Scope.CELL])
+def test_a_repeat_that_would_wait_beyond_its_window_is_given_up_at_once(scope: i.Scope) -> None:
+    klass = i.RequestClass(600_000, 5_000_000, i.Repeat.KEYED, scope, 50_000)
+    for seed in range(20):
+        b = Balancer(i.Settings(classes=(klass,), max_attempts=4), seed)
+        b.handle(0, i.ListUpdate((i.ServerEntry("s1"), i.ServerEntry("s2"), i.ServerEntry("s3"))))
+        (start,) = [a for a in b.handle(1_000, i.Request(7, 5_000_000)) if isinstance(a, i.Start)]
+        told = b.handle(2_000, i.Outcome(7, 0, start.server, i.Result.RESET))
+        waits = [a.delay_us for a in told if isinstance(a, i.SetTimer)]
+        answers = [a for a in told if isinstance(a, i.Refuse | i.Fail)]
+        assert len(answers) + len(waits) == 1
+        assert all(w < 49_000 for w in waits), "a wait that ends when nothing may be sent any more"
+        assert all(isinstance(a, i.Refuse) == (scope is i.Scope.ALL) for a in answers)
+
+
+@pytest.mark.parametrize("what", ["reset as the line is written", "half an answer", "a timeout"])
+def test_what_may_have_run_and_must_run_once_is_never_sent_twice(tmp_path: Path, what: str) -> None:
+    backends = [Backend(), Backend()]
+    loop = Loop(tmp_path, backends, ruled("unsafe", deadline_ms=2000))
+    client = loop.client()
+    loop.open(client, d=2000)
+    number, peer = first_at(loop, backends)
+    if what == "half an answer":
+        peer.send(b"BU")
+    if what != "a timeout":
+        peer.close(reset=what != "half an answer")
+    loop.until(lambda: loop.wait(20_000) or client.read().endswith(b"\r\n"))
+    assert client.got == b"ERR\r\n", "a refusal would be an invitation to come again"
+    loop.wait(500_000)
+    assert not backends[1 - number].called
+
+
+def test_an_attempt_given_up_before_it_came_up_never_writes_and_the_next_one_does(tmp_path: Path) -> None:
+    backends = [Backend(), Backend()]
+    loop = Loop(tmp_path, backends, settings(aim_ms=300, deadline_ms=4000))
+    client = loop.client()
+    attempts = hold_connects(loop)
+    loop.open(client, d=4000)
+    loop.until(lambda: loop.wait(4_000) or attempts)
+    loop.until(lambda: loop.wait(4_000) or len(attempts) == 2)
+    loop.order.held.clear()  # both connections come up in the same turn
+    late = next(b for n, b in enumerate(backends) if attempts[0].box == f"box-{n}")
+    other = next(b for b in backends if b is not late)
+    loop.until(lambda: other.called)
+    at_other = other.accept()
+    loop.until(lambda: b"OPEN" in at_other.read())
+    loop.wait(100_000)
+    assert attempts[0].over and (not late.called or b"OPEN" not in late.accept().read())
+
+
+@pytest.mark.parametrize("where", ["backoff", "connecting", "after a timeout to connect"])
+def test_clients_that_leave_by_hundreds_in_one_turn_are_not_sent_on(tmp_path: Path, where: str) -> None:
+    backends = [Backend(), Backend()]
+    loop = Loop(tmp_path, backends, settings(aim_ms=600, deadline_ms=4000, maxAttempts=3))
+    many = 6 if where == "backoff" else 60
+    clients = [loop.client() for _ in range(many)]
+    attempts = hold_connects(loop)
+    for client in clients:
+        loop.open(client, d=4000)
+    if where == "backoff":
+        loop.until(lambda: loop.wait(4_000) or attempts)
+        for backend in backends:
+            backend.listener.close()  # refused: a second attempt follows after a backoff
+        loop.order.held.clear()
+        loop.until(lambda: any(v.stage is Stage.WAITING and v.attempts for v in loop.desk.visits.values()))
+    else:
+        loop.until(lambda: loop.wait(4_000) or len(attempts) >= 2)
+        if where.startswith("after"):
+            loop.wait(160_000)
+    sides = [loop.side(c) for c in clients]
+    for n, client in enumerate(clients):
+        client.close(reset=bool(n % 2))
+    for side in sides:
+        arrived(side.wire.socket, select.POLLRDHUP)
+    before = len(attempts)
+    loop.order.first = [side.wire.fileno() for side in sides] if where == "connecting" else []
+    loop.order.held.clear()
+    loop.until(lambda: not loop.relay.front.open)
+    loop.wait(1_500_000, 20_000)
+    assert not loop.desk.visits and len(attempts) <= before + many
+    for backend in backends if where != "backoff" else ():
+        while backend.called:
+            assert b"OPEN" not in backend.accept().read()
+
+
+ANSWERS = [
+    ("a line without end", b"x" * 5000, False, b"ERR", False),
+    ("another word", b"WHAT r-1\r\n", False, b"", False),
+    ("half a line, then the end", b"UP r-", True, b"", False),
+    ("two answers at once", b"BUSY\r\nUP r-2\r\n", False, b"BUSY", False),
+    ("served and over in one segment", b"UP r-1\r\nBYE\r\n", True, b"UP r-1\r\nBYE\r\n", True),
+    ("over at once", b"BYE\r\n", True, b"BYE\r\n", True),
+    ("bytes that are no text", b"\xff\xfe\0\r\n", False, b"", False),
+]
+
+
+@pytest.mark.parametrize(("answer", "ends", "told", "exact"), [a[1:] for a in ANSWERS], ids=[a[0] for a in ANSWERS])
+def test_a_broken_answer_makes_one_final_answer(tmp_path: Path, answer: bytes, ends: bool, told: bytes,
+                                                exact: bool) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend], settings(aim_ms=300, deadline_ms=1500, maxAttempts=1))
+    client = loop.client()
+    loop.open(client)
+    _, peer = first_at(loop, [backend])
+    peer.send(answer)
+    if ends:
+        peer.close()
+    loop.until(lambda: loop.wait(4_000) or client.read() and client.ended)
+    if exact:
+        assert client.got == told and not client.reset
+    else:
+        assert client.got.count(b"\r\n") == 1 and client.got.split()[0] in (b"BUSY", b"ERR")
+    if not ends:
+        with suppress(ConnectionError):
+            peer.line("UP r-9")  # some milliseconds later
+        loop.step(5)
+        assert b"UP" not in client.read()
+    assert not loop.desk.visits and not loop.desk.tally.counts["exceptions"]
+
+
+def test_an_answer_in_the_turn_in_which_its_time_is_over_counts_for_nothing(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend], settings(aim_ms=300, deadline_ms=1500, maxAttempts=1))
+    client = loop.client()
+    loop.open(client)
+    _, peer = first_at(loop, [backend])
+    (visit,) = loop.desk.visits.values()
+    assert visit.attempt
+    peer.line("UP r-1")
+    arrived(visit.attempt.leg.line.wire.socket)  # type: ignore[union-attr]
+    loop.now_us = visit.attempt.until_us + 5_000  # the loop was held up; it sees the timer first
+    loop.until(lambda: client.read() and client.ended)
+    assert client.got.count(b"\r\n") == 1 and not loop.desk.visits
+
+
+@pytest.mark.parametrize("word", [b"BYE\r\n", b"MOVE\r\n", b"half a line", b"a line\r\n"])
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_move_that_meets_the_backends_own_end_is_one_move(tmp_path: Path, word: bytes, reset: bool) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    client, peer = loop.standing(backend)
+    (visit,) = loop.desk.visits.values()
+    leg = visit.attempt.leg  # type: ignore[union-attr]
+    loop.order.held.add(leg.line.wire.fileno())  # type: ignore[union-attr]
+    peer.send(word)
+    arrived(leg.line.wire.socket)  # type: ignore[union-attr]
+    peer.close(reset=reset)
+    loop.desk.move(visit)
+    loop.order.held.clear()
+    loop.until(lambda: client.read() and client.ended)
+    assert client.got == b"MOVE\r\n" and not client.reset
+    loop.desk.move(visit)  # decided for one that has just ended
+    loop.step(3)
+    assert not loop.desk.visits and not loop.desk.tally.counts["exceptions"]
+
+
+def test_a_stray_answer_is_not_taken_for_that_of_the_next_probe(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend], settings(probes=True))
+    told = list[i.ProbeResult]()
+    put = loop.desk.put
+
+    def heard(event: i.Event) -> None:
+        if isinstance(event, i.ProbeResult):
+            told.append(event)
+        put(event)
+    loop.desk.put = heard  # type: ignore[method-assign]
+    loop.relay.desk.asker.ask("box-0")  # type: ignore[union-attr]
+    loop.until(lambda: backend.called)
+    probe = backend.accept()
+    loop.until(lambda: probe.read() == b"STATS\r\n")
+    probe.send(b"PONG x0=0.25\r\nPONG x0=0.9\r\n")  # the second answer belongs to nothing
+    loop.until(lambda: told)
+    loop.step(3)
+    loop.relay.desk.asker.ask("box-0")  # type: ignore[union-attr]
+    loop.until(lambda: backend.called)
+    again = backend.accept()
+    loop.until(lambda: again.read() == b"STATS\r\n")
+    again.line("PONG x0=0.5")
+    loop.until(lambda: len(told) == 2)
+    assert [t.report.load for t in told if t.report] == [0.25, 0.5]
+
+
+def test_an_idle_connection_that_is_closed_as_a_probe_is_sent_is_asked_anew(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend], settings(probes=True))
+    asker: Any = loop.relay.desk.asker
+    asker.ask("box-0")
+    loop.until(lambda: backend.called)
+    probe = backend.accept()
+    loop.until(lambda: probe.read() == b"STATS\r\n")
+    probe.line("PONG x0=0.25")
+    loop.until(lambda: not asker.asking["box-0"].asked_us)
+    loop.order.held.add(asker.asking["box-0"].line.wire.fileno())
+    probe.close(reset=True)
+    asker.ask("box-0")
+    loop.step(2)
+    loop.order.held.clear()
+    loop.until(lambda: backend.called)
+    again = backend.accept()
+    loop.until(lambda: again.read() == b"STATS\r\n")
+    again.line("PONG x0=0.5")
+    loop.until(lambda: not asker.asking["box-0"].asked_us)
+    assert not loop.desk.tally.counts["probes_failed"]
+
+
+def test_a_flood_that_sends_much_and_goes_leaves_nothing_behind(tmp_path: Path) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    usual, served = loop.standing(backend)
+    for _ in range(40):
+        flood = [loop.client() for _ in range(8)]
+        for n, peer in enumerate(flood):
+            peer.send((b"z" * 3000 + b"\r\n") * (1 + n % 3) + b"z" * (n % 2) * 6000)
+            peer.close(reset=n % 4 == 0)
+        loop.until(lambda: loop.relay.front.open <= 1 + len(loop.relay.front.closing) or loop.wait(4_000))
+    loop.until(lambda: loop.relay.front.open == 1)
+    assert loop.relay.front.held() == 2 and not loop.relay.front.door and not len(loop.relay.front.closing)
+    usual.line("still here")
+    loop.until(lambda: served.read() == b"still here\r\n")
+    assert loop.desk.tally.counts["bad_lines"] >= 320
--- a/tests/test_moments_stop.py
+++ b/tests/test_moments_stop.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import json
 import socket
 from pathlib import Path
 
+import pytest
+
 from gradefront.core.duty import Duty
 from gradefront.core.visit import Stage
 from lab.town import settings
@@ -128,3 +131,42 @@
     assert loop.stopped - began <= 1_500_000 - 150_000
     assert max(b - a for a, b in zip(told, told[1:], strict=False)) <= 4, "spread over the time that there is"
     assert all(c.read().endswith(b"MOVE\r\n") and not c.reset for c in clients)
+
+
+@pytest.mark.parametrize("before", ["no list", "a drain ended", "an old file", "a new file", "a broken file"])
+def test_a_stop_at_an_odd_moment_answers_all_and_ends_in_time(tmp_path: Path, before: str,
+                                                             monkeypatch: pytest.MonkeyPatch) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend] if before != "no list" else [])
+    client = loop.client()
+    ends = loop.standing(backend) if before != "no list" else None
+    if before == "a drain ended":
+        loop.desk.lifecycle.lame_duck()
+        loop.wait(300_000, 20_000)
+        loop.desk.lifecycle.rejoin()
+    told = {**loop.told, "settings": settings(deadline_ms=1000)} if before == "a new file" else loop.told
+    (tmp_path / "config.json").write_text(json.dumps(told) if before != "a broken file" else "{")
+    monkeypatch.setenv("LB_CONFIG", str(tmp_path / "config.json"))
+    if before == "an old file":
+        loop.relay.reload()  # in the turn in which the signal comes
+    began, kill_us = loop.now_us, loop.desk.lifecycle.kill_us
+    loop.leave()
+    if "file" in before:
+        loop.relay.reload()
+        (tmp_path / "config.json").write_text(json.dumps({**told, "discovery": f"127.0.0.1:{Backend().port}"}))
+        loop.relay.reload()
+    loop.open(client)
+    if before == "no list":
+        loop.until(lambda: loop.wait(20_000) or client.read().endswith(b"\r\n"))
+        assert client.got.startswith(b"BUSY")
+    else:
+        loop.until(lambda: loop.wait(4_000) or backend.called)
+        at_backend = backend.accept()
+        loop.until(lambda: at_backend.read().endswith(b"\r\n"))
+        at_backend.line("UP r-1")
+    loop.until(lambda: loop.wait(20_000) or loop.stopped)
+    assert loop.stopped - began <= kill_us - 150_000
+    for peer in (client, *(ends[:1] if ends else ())):
+        assert peer.read() and peer.ended and not peer.reset
+        assert before == "no list" or peer.got.endswith(b"MOVE\r\n")
+    assert not loop.desk.tally.counts["exceptions"]
