Read no further on a connection that was reset, and count bad answers once a second in the log

Need: connections with bytes unread as a send is judged; spoilt answers by hundreds; lines without end. Ruled out: an answer at the operators' door that is under way at the process's end (green without a mend: it has left by then, and a reset after the other end's FIN is not seen; its test stays).

Change: Lines.abort marks the connection, catch_up stops there and after 1 MiB; Tally.bad counts what others do wrong and writes one line a second of each kind, in place of the two copies in front.py and boxlist.py; counter bad_answers; an overlong line after UP moves its client.

--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -11,6 +11,7 @@
 
 from .ports import BoxLeg, Call, CarerSide, Ending, ListWatcher
 from .shortfall import Cause, Reach, Shortfall
+from .tally import Tally
 from .wheel import Timer
 
 
@@ -31,6 +32,7 @@
     """Whom an attempt tells how far it came."""
 
     clock: Callable[[], int]
+    tally: Tally
     watcher: ListWatcher | None
 
     @property
@@ -59,6 +61,9 @@
     def ends(self, attempt: Attempt, shortfall: Shortfall, how: Ending) -> None:
         """It ended at the push box's side."""
 
+    def move(self, visit: Visit) -> None:
+        """Tell the carer to come again, if the visit stands."""
+
     def told_visit_load(self, attempt: Attempt, load: float) -> None:
         """The push box told the visit's load."""
 
--- a/gradefront/net/asker.py
+++ b/gradefront/net/asker.py
@@ -36,7 +36,7 @@
 
     def lineLengthExceeded(self, line: bytes) -> None:
         """An overlong line ends this connection."""
-        self.wire.abortConnection()
+        self.abort()
 
     def connectionLost(self, reason: Any = None) -> None:
         """The push box ended it, or it was dropped here."""
@@ -119,7 +119,7 @@
         """Close the connection."""
         line, self.line = self.line, None
         if line and line.transport:
-            line.wire.abortConnection()
+            line.abort()
         elif self.connector is not None:
             self.connector.disconnect()
 
--- a/gradefront/net/base.py
+++ b/gradefront/net/base.py
@@ -13,6 +13,8 @@
 from .closing import MOST_BYTES, Closing
 from .lines import MAX_LINE
 
+MOST_READS = 16  # of 64 KiB at most, of what lies unread on one connection while others wait
+
 
 class Lines(LineReceiver):
     """Lines that end with CRLF and are at most 4 KiB long."""
@@ -21,6 +23,7 @@
     delimiter = b"\r\n"
     closing_in: Closing | None = None  # from `finish` on
     thrown_away = 0  # bytes that came after that
+    aborted = False
 
     @property
     def wire(self) -> Any:
@@ -43,7 +46,12 @@
             return
         self.thrown_away += len(data)
         if self.thrown_away > MOST_BYTES:
-            self.wire.abortConnection()
+            self.abort()
+
+    def abort(self) -> None:
+        """End at once, by a reset. Nothing more is read: what still lies there stays."""
+        self.aborted = True
+        self.wire.abortConnection()
 
     def connectionLost(self, reason: Any = None) -> None:
         """The connection is no more."""
@@ -52,8 +60,10 @@
 
     def catch_up(self) -> bool:
         """Take what lies unread on this connection. Whether the other end has ended its side, be it heard of or not:
-        the loop may be busy with what came up beside it."""
-        while self.closing_in is None:
+        the loop may be busy with what came up beside it. Guards against one that sends without end: so much only."""
+        for _ in range(MOST_READS):
+            if self.closing_in or self.aborted:
+                return True
             try:
                 if not self.wire.socket.recv(1, socket.MSG_PEEK):
                     return True
@@ -62,7 +72,7 @@
             except (OSError, AttributeError):  # a transport that has ended has no socket
                 return True
             self.wire.doRead()
-        return True
+        return False
 
     def unfinished(self) -> bytes:
         """What has come of a line that has no end yet."""
--- a/gradefront/net/boxleg.py
+++ b/gradefront/net/boxleg.py
@@ -35,7 +35,7 @@
         why = self.leg.attempt.barred()
         if why:
             self.leg.attempt.ends(why)
-            transport.abortConnection()
+            self.abort()
             return
         self.leg.attempt.came(Reach.WRITING)
         transport.registerProducer(self, False)
@@ -62,12 +62,14 @@
             self.leg.heard(line)
         except Exception:
             log.exception("a push box's line failed")
-            self.wire.abortConnection()
+            self.abort()
 
     def lineLengthExceeded(self, line: bytes) -> None:
-        """An overlong line ends this connection."""
-        log.warning("push box %s sent an overlong line", self.leg.attempt.box)
-        self.wire.abortConnection()
+        """An overlong line ends this connection; whoever stands on it is told to come again."""
+        self.leg.bad("sent an overlong line")
+        attempt = self.leg.attempt
+        attempt.desk.move(attempt.visit)
+        self.abort()
 
     def connectionLost(self, reason: Any = None) -> None:
         """Tell the leg, after what the push box sent of an unfinished line."""
@@ -124,13 +126,15 @@
             elif word == b"MOVE":
                 attempt.ends(Cause.SENT_AWAY)
             else:
+                if word != b"ERR":
+                    self.bad("gave no answer of the protocol")
                 attempt.ends(Cause.ERROR)
             return
         if line.startswith(b"LOAD "):
             try:
                 attempt.told_load(float(line[5:]))
             except ValueError:
-                log.warning("push box %s told a load that is no number", attempt.box)
+                self.bad("told a load that is no number")
         else:
             attempt.heard_box()
             if line == b"MOVE":
@@ -140,6 +144,11 @@
         if self.to_carer:
             self.to_carer(line + b"\r\n")
 
+    def bad(self, what: str) -> None:
+        """The push box sent what none sends."""
+        core = self.attempt.desk
+        core.tally.bad("bad_answers", f"push box {self.attempt.box} {what}", core.clock())
+
     def lost(self, how: Ending, rest: bytes) -> None:
         """The connection to the push box ended."""
         self.gone = True
@@ -171,7 +180,7 @@
             # An attempt that is given up must leave nothing that could still arrive: another one may follow, and
             # what is written, here or in the kernel, goes on its way until the connection is reset.
             if how is Ending.BROKEN or self.attempt.reach < Reach.UP:
-                self.line.wire.abortConnection()
+                self.line.abort()
             else:
                 self.line.wire.unregisterProducer()
                 self.line.finish(self.closing)
--- a/gradefront/net/boxlist.py
+++ b/gradefront/net/boxlist.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import math
 from typing import Any, NamedTuple
 
@@ -10,10 +9,7 @@
 from gradefront.core.desk import Desk
 from milletdeal import interface as i
 
-log = logging.getLogger("gradefront.boxlist")
-
 STATES = {"SERVING": i.ServerState.READY, "DRAINING": i.ServerState.DRAINING, "DELETED": i.ServerState.GONE}
-TELL_US = 1_000_000  # between two log lines about lines of the list that make no sense
 
 
 class Place(NamedTuple):
@@ -31,7 +27,6 @@
         self.desk = desk
         self.revision = 0
         self.places: dict[str, Place] = {}
-        self.told_us = 0
 
     def address(self, box: str) -> tuple[str, int] | None:
         """Where a push box listens."""
@@ -64,18 +59,11 @@
             else:
                 places[entry.server] = place
         if bad:
-            self._tell(bad)
+            self.desk.tally.bad("bad_list_lines", f"a line of the box list makes no sense: {bad[0]}",
+                                self.desk.clock(), len(bad))  # left out, the others stand
         self.places, self.revision = places, revision
         self.desk.listed(i.ListUpdate(tuple(entries), full))
 
-    def _tell(self, bad: list[str]) -> None:
-        """Lines that make no sense: they are left out, the others stand. Logged once a second at most."""
-        self.desk.tally.add("bad_list_lines", len(bad))
-        now = self.desk.clock()
-        if now - self.told_us >= TELL_US:
-            self.told_us = now
-            log.warning("a line of the box list makes no sense: %s (and %d more in this list)", bad[0], len(bad) - 1)
-
     def _place(self, member: Any) -> Place:
         """One line of the list. Raises where it makes no sense."""
         config = self.config
--- a/gradefront/net/closing.py
+++ b/gradefront/net/closing.py
@@ -31,6 +31,9 @@
     def wire(self) -> Any:
         """Its transport."""
 
+    def abort(self) -> None:
+        """End it at once."""
+
     def __hash__(self) -> int:
         """It stands in a table."""
 
@@ -52,7 +55,7 @@
             return
         if len(self.waiting) >= self.most:
             self.make_room()
-        self.waiting[line] = self.later.after(LINGER_US, line.wire.abortConnection)
+        self.waiting[line] = self.later.after(LINGER_US, line.abort)
         line.wire.loseWriteConnection()
         line.wire.resumeProducing()  # it may have been held back by the other side's pace
 
@@ -68,5 +71,5 @@
         if oldest is None:
             return False
         self.over(oldest)
-        oldest.wire.abortConnection()
+        oldest.abort()
         return True
--- a/gradefront/net/front.py
+++ b/gradefront/net/front.py
@@ -29,7 +29,6 @@
 ROOM_PART = 8  # of the descriptors, one part in so many is kept free of the door for visits that come
 FRESH_US = 250_000  # a connection so new is not ended for want of room: its line may be on its way
 IDS_KEPT = 4_096  # ids remembered: each connection has a new one, so that a second use is somebody else's
-TELL_US = 1_000_000  # between two log lines of one kind about bad clients
 
 
 class CarerLine(Lines):
@@ -185,7 +184,7 @@
     def cut(self) -> None:
         """End at once."""
         self.closing = True
-        self.wire.abortConnection()
+        self.abort()
 
     def make_room(self) -> None:
         """Others need the descriptor more."""
@@ -209,8 +208,6 @@
         self.ids: dict[bytes, None] = {}  # of connections that made a visit, the oldest first
         self.closing = Closing(desk, config.sockets // PART)
         self.legs = legs or Closing(desk, config.sockets // PART)  # to push boxes, that are being ended
-        self.told_us = 0
-        self.untold = 0
 
     def buildProtocol(self, addr: object) -> CarerLine | None:
         """A device connects. None ends it at once: guards the last descriptors, which what stands needs."""
@@ -251,12 +248,5 @@
         self.ids[connection] = None
 
     def bad(self, what: str) -> None:
-        """Count what no device sends. Logged once a second at most: a line each would cost more than the
-        refusal."""
-        self.desk.tally.add("bad_lines")
-        now = self.desk.clock()
-        if now - self.told_us < TELL_US:
-            self.untold += 1
-            return
-        log.warning("bad client: %s (and %d more since the last such line)", what, self.untold)
-        self.told_us, self.untold = now, 0
+        """Count what no device sends."""
+        self.desk.tally.bad("bad_lines", f"bad client: {what}", self.desk.clock())
--- a/gradefront/net/watch.py
+++ b/gradefront/net/watch.py
@@ -178,7 +178,7 @@
         self.ended = True
         self.silence.cancel()
         if self.line and self.line.transport:
-            self.line.wire.abortConnection()
+            self.line.abort()
         elif self.connector is not None:
             self.connector.disconnect()
 
--- a/gradefront/ops/door.py
+++ b/gradefront/ops/door.py
@@ -101,7 +101,7 @@
             self.desk.tally.add("door_ended_for_room")
             del self.callers[oldest]
             if oldest.answered:
-                oldest.wire.abortConnection()
+                oldest.abort()
             oldest.answer(["fail others wait"])
 
     def call(self, line: bytes) -> list[str]:
--- a/tests/loop.py
+++ b/tests/loop.py
@@ -8,9 +8,10 @@
 
 import json
 import select
+import signal
 import socket
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from itertools import count
 from pathlib import Path
 from typing import Any, cast
@@ -109,7 +110,8 @@
     """The relay, its loop and its clock."""
 
     def __init__(self, folder: Path, backends: list[Backend], told: dict[str, Any] | None = None,
-                 discovery: Backend | None = None, phases: dict[int, str] | None = None) -> None:
+                 discovery: Backend | None = None, phases: dict[int, str] | None = None,
+                 admin: str | None = None) -> None:
         self.now_us = 1_800_000_000_000_000
         self.discovery = discovery or Backend()
         self.reactor = cast(Any, EPollReactor)()
@@ -123,7 +125,8 @@
              "cell": n, "phase": (phases or {}).get(n, "SERVING"), "size": 1.0, "up_since_ms": 0}
             for n, b in enumerate(backends)]}
         self.told = {"name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}",
-                     "seed": "1f", "limits": {"sockets": 512}, "known": self.known, "settings": told or settings()}
+                     "seed": "1f", "limits": {"sockets": 512}, "known": self.known, "settings": told or settings(),
+                     **({"admin": admin} if admin else {})}
         self.relay = Relay(parse(json.loads(json.dumps(self.told)), {}), None, self.reactor,
                            clock=lambda: self.now_us)
         self.desk = self.relay.desk
@@ -207,6 +210,24 @@
         self.step()
 
 
+@contextmanager
+def guarded() -> Iterator[None]:
+    """What does not end is an error, not a hang of the tests, whoever catches what is raised to end it."""
+    hung = list[int]()
+
+    def hangs(number: int, frame: object) -> None:
+        hung.append(number)
+        raise AssertionError("it does not end")
+    before = signal.signal(signal.SIGALRM, hangs)
+    signal.setitimer(signal.ITIMER_REAL, LONG_S)
+    try:
+        yield
+    finally:
+        signal.setitimer(signal.ITIMER_REAL, 0)
+        signal.signal(signal.SIGALRM, before)
+    assert not hung, "it did not end by itself"
+
+
 def hold_connects(loop: Loop) -> list[Attempt]:
     """From now on connections to backends don't come up, as far as the loop sees. The attempts, as they begin."""
     attempts = list[Attempt]()
--- a/tests/test_moments_list.py
+++ b/tests/test_moments_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +12,7 @@
 from lab.town import settings
 from milletdeal import interface as i
 
-from .loop import Backend, Loop, Peer, arrived, hold_connects
+from .loop import Backend, Loop, Peer, arrived, guarded, hold_connects
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 TOLD_US = 6_000_000  # what a silent watch misses counts as told then
@@ -224,3 +225,29 @@
     back.send(chunk(line(change(loop, 0, "DRAINING", 9))))
     loop.until(lambda: drains(loop))
     assert loop.now_us - returned_us < loop.desk.settings.drain_grace_us
+
+
+@pytest.mark.parametrize("junk", [b"nonsense " * 40_000, b'{"revision":' + b" " * 400_000, b"\n" * 400_000])
+def test_a_list_without_sense_or_end_that_lies_unread_holds_no_send_up(tmp_path: Path, junk: bytes) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    first = watch(loop)
+    first.send(chunk(line(loop.known)))
+    call = loop.relay.list_watch.call
+    loop.until(lambda: call and call.news)
+    client = loop.client()
+    attempts = hold_connects(loop)
+    loop.open(client)
+    loop.until(lambda: loop.wait(4_000) or attempts)
+    assert call and call.line
+    loop.order.held = {call.line.wire.fileno()}
+    first.sock.setblocking(False)
+    with suppress(BlockingIOError):
+        first.sock.send(chunk(junk))
+    first.sock.settimeout(10)
+    arrived(call.line.wire.socket)
+    with guarded():
+        loop.until(lambda: attempts[0].wrote_us)
+    at_backend = backend.accept()
+    loop.until(lambda: at_backend.read().endswith(b"\r\n"))
+    assert loop.desk.serves("box-0"), "what is known stays"
--- a/tests/test_moments_send.py
+++ b/tests/test_moments_send.py
@@ -14,7 +14,7 @@
 from milletdeal import Balancer
 from milletdeal import interface as i
 
-from .loop import Backend, Loop, Peer, arrived, hold_connects
+from .loop import Backend, Loop, Peer, arrived, guarded, hold_connects
 
 
 def ruled(effect: str, scope: str = "all", window_ms: int = 400, **more: Any) -> dict[str, Any]:
@@ -291,3 +291,62 @@
     usual.line("still here")
     loop.until(lambda: served.read() == b"still here\r\n")
     assert loop.desk.tally.counts["bad_lines"] >= 320
+
+
+@pytest.mark.parametrize("more", [b"z" * 400_000, b"z" * 3000 + b"\r\n" + b"z" * 400_000, b"a line\r\n" * 40_000])
+def test_a_client_that_sends_much_as_its_connection_comes_up_holds_nobody_up(tmp_path: Path, more: bytes) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    usual, _ = loop.standing(backend)
+    client = loop.client()
+    attempts = hold_connects(loop)
+    loop.open(client)
+    loop.until(lambda: loop.wait(4_000) or attempts)
+    side = loop.side(client)
+    loop.order.held = {side.wire.fileno()}  # all of it lies unread
+    client.sock.setblocking(False)
+    with suppress(BlockingIOError):
+        while more:
+            more = more[client.sock.send(more):]
+    client.sock.settimeout(10)
+    arrived(side.wire.socket)
+    with guarded():
+        loop.until(lambda: attempts[0].over)
+    loop.order.held.clear()
+    loop.until(lambda: client.read() and client.ended or client.ended)
+    assert client.reset or client.got == b"ERR\r\n"
+    assert not backend.called or b"OPEN" not in backend.accept().read()
+    usual.line("still here")
+    loop.step(3)
+    assert not usual.read() and not usual.ended
+
+
+def test_bad_answers_by_hundreds_are_counted_and_told_once_a_second(tmp_path: Path,
+                                                                    caplog: pytest.LogCaptureFixture) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend], settings(aim_ms=300, deadline_ms=1500, maxAttempts=1))
+    _, served = loop.standing(backend)
+    caplog.set_level("WARNING")
+    served.send(b"LOAD much\r\n" * 300)
+    loop.until(lambda: loop.desk.tally.counts["bad_answers"] >= 300)
+    for n in range(6):
+        client = loop.client()
+        loop.open(client)
+        _, peer = first_at(loop, [backend])
+        peer.send([b"x" * 5000, b"WHAT r-1\r\n"][n % 2])
+        loop.until(lambda: loop.wait(4_000) or client.read() and client.ended)  # noqa: B023
+    assert loop.desk.tally.counts["bad_answers"] == 306
+    told = [r.getMessage() for r in caplog.records if "push box" in r.getMessage()]
+    assert 1 <= len(told) <= 2 + loop.desk.clock() // 1_000_000 - 1_800_000_000, told
+
+
+@pytest.mark.parametrize("endless", [b"x" * 5000, b"UP r-2\r\n" + b"y" * 5000])
+def test_a_client_whose_backend_begins_a_line_without_end_is_moved_and_not_cut_off(tmp_path: Path,
+                                                                                   endless: bytes) -> None:
+    backend = Backend()
+    loop = Loop(tmp_path, [backend])
+    client, served = loop.standing(backend)
+    served.send(endless)
+    loop.until(lambda: client.read() and client.ended or client.ended)
+    assert client.got.endswith(b"MOVE\r\n") and client.got.count(b"x") + client.got.count(b"y") == 0
+    assert not client.reset and not loop.desk.visits
--- a/tests/test_moments_stop.py
+++ b/tests/test_moments_stop.py
@@ -170,3 +170,27 @@
         assert peer.read() and peer.ended and not peer.reset
         assert before == "no list" or peer.got.endswith(b"MOVE\r\n")
     assert not loop.desk.tally.counts["exceptions"]
+
+
+def test_an_operators_answer_that_is_under_way_at_the_end_arrives_whole(tmp_path: Path) -> None:
+    loop = Loop(tmp_path, [Backend()], admin="127.0.0.1:0")
+    resting = loop.client()
+    loop.leave()
+    loop.until(lambda: loop.wait(10_000) or not loop.relay.port.connected)
+    before = set(loop.reactor.getReaders())
+    assert loop.relay.door
+    caller = Peer(socket.create_connection(("127.0.0.1", loop.relay.door.getHost().port), LONG_S))
+    caller.send(b"INFO\r\n")
+    loop.until(lambda: loop.desk.tally.counts["door_calls"])
+    (end,) = set(loop.reactor.getReaders()) - before
+    loop.order.held = {end.fileno()}
+    caller.send(b"more than was asked for\r\n")
+    arrived(end.socket)
+    resting.close()
+    loop.until(lambda: not loop.relay.front.open)
+    loop.wait(20_000)
+    loop.order.held.clear()
+    loop.until(lambda: caller.read() and caller.ended)
+    assert caller.got.startswith(b"ok") and caller.got.endswith(b"eof\r\n") and not caller.reset
+    caller.close()
+    loop.until(lambda: loop.wait(4_000) or loop.stopped)
