Count a look that sends nothing as no attempt, so that one told attempt is not one look

Seen: a log line at each give-up (trial): 955 of 980 requests given up there had sent nothing (790 held back, 165 found no room), since Balancer._again gave up after `most` rounds and a vain look is a round: with one attempt told, the first look was the last. Change: at most ATTEMPTS (5, the paper's) looks, and of them no more sends than told. milletdeal/balance.py _request and _again. Test: a module test with one attempt told, both servers full, then with room: given up at once before, placed later now; red first.

--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -20,7 +20,7 @@
 from .node import MEMORY_US
 from .records import Job, Server
 
-ATTEMPTS = 5  # rounds: the paper's default, first included; the told limit may be lower
+ATTEMPTS = 5  # rounds: the paper's default, first included; of them no more than told may send
 BASE_PART = 1 / 6  # of the class's aim: first backoff ceiling, so that a retry can still be in time
 CAP_PART = 1 / 4  # of the class's deadline: backoff ceiling, leaves time for several attempts
 SETUP_AIMS = 2.0  # aims: set-up time-out; later than that the attempt is worth little
@@ -92,7 +92,7 @@
         self._learn_work(request.load_hint)
         klass = self.s.classes[request.klass]
         job = Job(request, klass, self.now + min(request.expires_us, klass.deadline_us),
-                  min(ATTEMPTS, self.s.max_attempts))
+                  self.s.max_attempts)
         self.jobs[request.request] = job
         self._consider(job)
 
@@ -190,7 +190,8 @@
         # Guards against a wait in vain: past the window of its first try no keyed request goes out again.
         keyed = job.ran and job.klass.repeat is i.Repeat.KEYED
         until = min(job.deadline, job.ran[0][1] + job.klass.dedup_window_us) if keyed else job.deadline
-        if job.rounds >= job.most or self.now + wait + 2 * self.s.resolution_us >= until:
+        spent = job.rounds >= ATTEMPTS or len(job.tried) >= job.most  # a look that sent nothing is no attempt
+        if spent or self.now + wait + 2 * self.s.resolution_us >= until:
             self._answer(job)
         else:
             job.turn += 1
--- a/milletdeal/records.py
+++ b/milletdeal/records.py
@@ -37,8 +37,8 @@
     request: Request
     klass: RequestClass
     deadline: int
-    most: int  # rounds: by the settings under which it came
-    rounds: int = 0  # failed placements and vain looks so far
+    most: int  # attempts: by the settings under which it came
+    rounds: int = 0  # failed attempts and vain looks so far
     tried: list[str] = field(default_factory=list)
     ran: list[tuple[ServerEntry, int]] = field(default_factory=list)  # may have run; and when sent
     out: bool = False  # an attempt is pending
--- a/tests/test_basic.py
+++ b/tests/test_basic.py
@@ -68,3 +68,24 @@
             actions += b.handle(now, i.TimerFired(timer.timer))
     assert answers == [i.Refuse(7)]
     assert now < 2_000_000
+
+
+def test_a_look_that_finds_no_room_is_no_attempt_where_one_attempt_is_told() -> None:
+    placed = 0
+    for seed in range(20):
+        b = Balancer(i.Settings(classes=(CLASS,), max_attempts=1, reports=i.Reports.PROBES, may_probe=True), seed)
+        b.handle(0, i.ListUpdate((i.ServerEntry("s1"), i.ServerEntry("s2"))))
+        told = b.handle(1_000, i.Request(7, 2_000_000))
+        assert any(isinstance(a, i.Probe) for a in told)
+        for server in ("s1", "s2"):  # both are full now
+            told += b.handle(2_000, i.ProbeResult(server, i.Result.OK, report=i.LoadReport(1.5)))
+        assert not any(isinstance(a, i.Refuse | i.Fail) for a in told), "given up without an attempt"
+        (timer, wait) = [(a.timer, a.delay_us) for a in told if isinstance(a, i.SetTimer)][-1]
+        for server in ("s1", "s2"):  # and have room again
+            b.handle(2_500, i.ProbeResult(server, i.Result.OK, report=i.LoadReport(0.1)))
+        starts = [a for a in b.handle(2_000 + wait, i.TimerFired(timer)) if isinstance(a, i.Start)]
+        placed += len(starts)
+        if starts:  # the one attempt fails: nothing more is sent
+            told = b.handle(2_100 + wait, i.Outcome(7, 0, starts[0].server, i.Result.CONNECT_FAILED))
+            assert [a for a in told if isinstance(a, i.Refuse)] and not any(isinstance(a, i.SetTimer) for a in told)
+    assert placed >= 10
