--- a/lab/town.py
+++ b/lab/town.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+HERE = Path(__file__).resolve().parent.parent  # this checkout
 BUSY_S = 0.5  # what a machine that is busy with other work may add to a figure, without another verdict
 PATIENCE_S = 40.0  # against a hang only; no verdict rests on it
 
@@ -244,10 +245,10 @@
                   quic: dict[str, Any] | None = None, admin: bool = False,
                   listener: socket.socket | None = None, shared: Path | None = None,
                   known: dict[str, Any] | None = None, fleet: dict[str, Any] | None = None,
-                  name: str = "n0") -> AsyncIterator[Program]:
+                  name: str = "n0", tree: Path = HERE) -> AsyncIterator[Program]:
     """Start the program; its ports are the system's choice. With a listener it inherits that; `shared` is the folder
     that it has in common with other processes of its relay; `known` the list that it has from before;
-    `fleet` its file of the fleet."""
+    `fleet` its file of the fleet; `tree` the checkout whose program it is."""
     if not discovery.serves:  # another process may be watching it already
         await discovery.open()
     config = {"name": name, "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{discovery.port}", "seed": "1f",
@@ -259,7 +260,7 @@
     (folder / "fleet.json").write_text(json.dumps(fleet or {"on": False}))
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "gradefront", stderr=asyncio.subprocess.PIPE,
-        cwd=Path(__file__).resolve().parent.parent,
+        cwd=tree,
         pass_fds=[listener.fileno()] if listener else [],
         env={**({"TMPDIR": str(shared)} if shared else {}),
              **({"LB_SOCKET_FD": str(listener.fileno())} if listener else {}),
