--- a/gradefront/cli/__init__.py
+++ b/gradefront/cli/__init__.py
@@ -52,7 +52,7 @@
 """)
 @click.version_option(__version__, prog_name="gradefront")
 def gradefront() -> None:
-    """The relay between carers' devices and push boxes."""
+    """The relay between clients and push boxes."""
 
 
 def command(arguments: list[str] | None = None) -> int:
--- a/gradefront/core/desk.py
+++ b/gradefront/core/desk.py
@@ -18,7 +18,7 @@
 from .duty import Duty
 from .lifecycle import Lifecycle
 from .liveness import Liveness
-from .ports import BoxAsker, Call, CarerSide, Decider, Ending, ListWatcher
+from .ports import BoxAsker, Call, ClientSide, Decider, Ending, ListWatcher
 from .shortfall import Cause, Reach, Shortfall
 from .tally import Tally
 from .visit import Attempt, BoxCaller, Stage, Visit
@@ -26,7 +26,7 @@
 
 log = logging.getLogger("gradefront.desk")
 
-ANSWER_MARGIN_US = 40_000  # the answer must travel, and be sent by a busy relay, before the carer gives up
+ANSWER_MARGIN_US = 40_000  # the answer must travel, and be sent by a busy relay, before the client gives up
 NET_US = 12_000  # the safety net's time after the deadline that the module is told; within the margin
 
 
@@ -183,9 +183,9 @@
 
     # ---- visits that come
 
-    def arrive(self, call: Call, carer: CarerSide, caller: BoxCaller) -> Visit:
-        """A carer's device asks to be connected."""
-        visit = self._new(call, carer, caller, max(1, call.patience_us - ANSWER_MARGIN_US))
+    def arrive(self, call: Call, client: ClientSide, caller: BoxCaller) -> Visit:
+        """A client asks to be connected."""
+        visit = self._new(call, client, caller, max(1, call.patience_us - ANSWER_MARGIN_US))
         self.tally.add("visits")
         if not self.begins:  # read after the last answers: it is answered at once, and never sent on
             self.answer(visit, i.Refuse(visit.number))
@@ -196,9 +196,9 @@
         self.put(visit.request(self.clock()))
         return visit
 
-    def bring_over(self, call: Call, carer: CarerSide, caller: BoxCaller, box: str) -> Visit:
+    def bring_over(self, call: Call, client: ClientSide, caller: BoxCaller, box: str) -> Visit:
         """A visit that stood at `box` before this relay started: it goes there and nowhere else."""
-        visit = self._new(call, carer, caller, BROUGHT_US, box)
+        visit = self._new(call, client, caller, BROUGHT_US, box)
         self.tally.add("visits_brought")
         if not self.begins:
             self.answer(visit, None)
@@ -207,11 +207,11 @@
         self.reach_out(visit, box, min(visit.deadline_us, self.clock() + BROUGHT_TRY_US))
         return visit
 
-    def take_over(self, call: Call, carer: CarerSide, caller: BoxCaller, box: str, heard_us: int,
+    def take_over(self, call: Call, client: ClientSide, caller: BoxCaller, box: str, heard_us: int,
                   asked_us: tuple[int, ...]) -> tuple[Visit, Attempt]:
         """A visit that stood in the process before this one, answered there. Its attempt gets its leg from the
         caller."""
-        visit = self._new(call, carer, caller, 0, box)
+        visit = self._new(call, client, caller, 0, box)
         visit.step(Stage.REACHING)
         visit.step(Stage.STANDING)
         attempt = visit.attempt = Attempt(self, visit, box, visit.deadline_us)
@@ -221,19 +221,19 @@
         self.put(i.OpenConnection(visit.request(self.clock()), box))
         return visit, attempt
 
-    def _new(self, call: Call, carer: CarerSide, caller: BoxCaller, patience_us: int,
+    def _new(self, call: Call, client: ClientSide, caller: BoxCaller, patience_us: int,
              pinned: str = "") -> Visit:
         now = self.clock()
-        visit = Visit(next(self.numbers), call, carer, caller, now, now + patience_us, self.settings, pinned)
+        visit = Visit(next(self.numbers), call, client, caller, now, now + patience_us, self.settings, pinned)
         self.visits[visit.number] = visit
         return visit
 
-    def carer_left(self, visit: Visit, how: Ending) -> None:
-        """The carer's device ended its side. Nothing more is owed to it."""
+    def client_left(self, visit: Visit, how: Ending) -> None:
+        """The client ended its side. Nothing more is owed to it."""
         if visit.stage is Stage.ENDED:
             return
         standing, attempt = visit.stage is Stage.STANDING, visit.attempt
-        self.tally.add("ended_by_carer" if standing else "gave_up_waiting")
+        self.tally.add("ended_by_client" if standing else "gave_up_waiting")
         if not standing and not visit.pinned:
             self.put(i.ClientGone(visit.number))
         self.over(visit)
@@ -255,7 +255,7 @@
         self.tally.add_of_class(name, self.book.names[klass])
 
     def turn_away(self, visit: Visit) -> None:
-        """The carer's side broke its protocol before the visit stood: it gets its answer now."""
+        """The client's side broke its protocol before the visit stood: it gets its answer now."""
         if visit.stage in (Stage.WAITING, Stage.REACHING):
             self._give_up(visit)
 
@@ -275,15 +275,15 @@
             attempt.close(Ending.ORDERLY)
             self.tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
         if standing:
-            visit.carer.move()
+            visit.client.move()
         elif isinstance(answer, i.Refuse):
             self.tally.add("refused")
             self.count("deferred_total", visit.call.klass)
-            visit.carer.refuse(answer.retry_after_us)
+            visit.client.refuse(answer.retry_after_us)
         else:
             self.tally.add("failed")
             self.count("errored_total", visit.call.klass)
-            visit.carer.fail()
+            visit.client.fail()
 
     def over(self, visit: Visit) -> None:
         """The end of a visit, as far as the desk goes."""
@@ -345,7 +345,7 @@
         self.tally.add("stood")
         self.count("answered_total", visit.call.klass)
         assert attempt.leg is not None
-        visit.carer.seat(attempt.leg, receipt)
+        visit.client.seat(attempt.leg, receipt)
 
     def ends(self, attempt: Attempt, shortfall: Shortfall, how: Ending) -> None:
         """An attempt failed, or a visit that stood ended at the push box's side."""
@@ -356,7 +356,7 @@
         if standing:
             self.over(visit)
             self.tell_end(attempt, shortfall, True)
-            visit.carer.end(how)
+            visit.client.end(how)
         elif visit.pinned:
             once_more(self, visit, shortfall)
         else:
@@ -375,13 +375,13 @@
     # ---- visits that stand
 
     def move(self, visit: Visit) -> None:
-        """Tell a carer to come again, and end both sides."""
+        """Tell a client to come again, and end both sides."""
         attempt = visit.attempt
         if visit.stage is not Stage.STANDING or attempt is None:
             return
         self.over(visit)
         self.tally.add("moved")
-        visit.carer.move()
+        visit.client.move()
         attempt.close(Ending.ORDERLY)
         self.tell_end(attempt, Shortfall(attempt.reach, Cause.CALLED_OFF), True)
 
@@ -395,6 +395,6 @@
         assert attempt
         self.tally.add("moved_from_silent")
         self.over(visit)
-        visit.carer.move()
+        visit.client.move()
         attempt.close(Ending.BROKEN)
         self.tell_end(attempt, Shortfall(Reach.UP, Cause.CALLED_OFF if alone else Cause.SILENT), True)
--- a/gradefront/core/lifecycle.py
+++ b/gradefront/core/lifecycle.py
@@ -17,14 +17,14 @@
 
 LONGEST_US = 3_000_000  # on leaving, SIGKILL comes no sooner than the longest deadline, this at most,
 KILL_US = 700_000  # and so long after SIGTERM; the rest is counted back from there:
-LEAVE_AFTER_US = 1_500_000  # visits are served until then. Guards against sending carers away while the relay
+LEAVE_AFTER_US = 1_500_000  # visits are served until then. Guards against sending clients away while the relay
 # that left before is not back yet: for them there would be no relay at all
-LEAVE_BY_US = 600_000  # the last carer is told by then
+LEAVE_BY_US = 600_000  # the last client is told by then
 STOP_BY_US = 450_000  # all has its answer by then, and nothing new begins
 LEAVE_STEP_US = 50_000
 NEWS_BY_US = 3_500_000  # a process that replaces another waits so long for the box list, of 6 s from its start
-FRONT_US = 450_000  # after SIGTERM: the front still sends carers here for 0.2 to 0.4 s
-LAME_BY_US = 3_200_000  # after the call to empty the relay: the last carer is told by then, of 4 s that there are,
+FRONT_US = 450_000  # after SIGTERM: the front still sends clients here for 0.2 to 0.4 s
+LAME_BY_US = 3_200_000  # after the call to empty the relay: the last client is told by then, of 4 s that there are,
 LAME_ANSWER_US = 3_600_000  # and whoever still waits for a push box is answered
 
 
@@ -39,7 +39,7 @@
         """Run `then` later."""
 
     def move(self, visit: Visit) -> None:
-        """Tell a carer to come again."""
+        """Tell a client to come again."""
 
     def answer(self, visit: Visit, answer: i.Refuse | i.Fail | None) -> None:
         """The one final answer."""
@@ -54,7 +54,7 @@
         self.awaits_news = False  # says yes only once discovery has spoken, not on a list from before
         self.opens: Callable[[], None] | None = None  # done when it first takes clients
         self.emptying: object = None  # of the drain that is on: a step of an earlier one does nothing
-        self.empty_us = 0  # by then the last carer is to be told, on account of the drain that is on; 0: none is
+        self.empty_us = 0  # by then the last client is to be told, on account of the drain that is on; 0: none is
         self.kill_us = LONGEST_US + KILL_US
         self.heed(classes)
 
@@ -110,7 +110,7 @@
         if not self.hear(Word.LAMEDUCK):
             return False
         if was not in (Duty.LAME_DUCK, Duty.LEAVING, Duty.STOPPING):
-            # Not at once: the front still sends carers here, and some would come back to where they left.
+            # Not at once: the front still sends clients here, and some would come back to where they left.
             self._empty(FRONT_US, self.core.clock() + LAME_BY_US)
             self.core.after(LAME_ANSWER_US, partial(self._answer_waiting, self.emptying))
         return True
--- a/gradefront/core/liveness.py
+++ b/gradefront/core/liveness.py
@@ -20,7 +20,7 @@
 
 SILENT_US = 1_500_000  # a visit that is owed a reply this long has gone silent: sound ones bring it at once
 LOOK_US = 250_000  # between two looks for silent visits
-DEAD_LINE_US = 120_000_000  # nothing either way for so long: the carer's device is gone
+DEAD_LINE_US = 120_000_000  # nothing either way for so long: the client is gone
 
 
 class Core(Protocol):
@@ -41,7 +41,7 @@
         """Tell the module."""
 
     def move(self, visit: Visit) -> None:
-        """Tell a carer to come again."""
+        """Tell a client to come again."""
 
     def leave_silent(self, visit: Visit, alone: bool) -> None:
         """Move a visit off a push box that answers nothing."""
@@ -121,7 +121,7 @@
         self.core.tally.add("boxes_vanished")
         for visit in here:
             self.core.leave_silent(visit, alone=False)
-        # Guards against finding out about a lost zone box by box, each when a carer's message is due.
+        # Guards against finding out about a lost zone box by box, each when a client's message is due.
         zones = self.core.zones
         near = [other for other in held if zones.get(other) == zones.get(box)]
         for other in self.quiet.others(near, self.core.clock()):
@@ -135,7 +135,7 @@
             self.core.put(i.DelayNote(number, box, delay))
 
     def _look(self) -> None:
-        """Find visits whose connection, push box or carer's device has vanished without a word."""
+        """Find visits whose connection, push box or client has vanished without a word."""
         now = self.core.clock()
         self.core.after(LOOK_US, self._look)
         late, self.looked_us = now - self.looked_us > 2 * LOOK_US, now
--- a/gradefront/core/ports.py
+++ b/gradefront/core/ports.py
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Call:
-    """What a carer's device asks for. `parcel` is the front's own; the core hands it on unread."""
+    """What a client asks for. `parcel` is the front's own; the core hands it on unread."""
 
     patience_us: int
     parcel: object
@@ -38,8 +38,8 @@
         """End it; nothing that comes later counts."""
 
 
-class CarerSide(Protocol):
-    """One visit's way to its carer. Each visit gets exactly one of `seat`, `refuse` and `fail`."""
+class ClientSide(Protocol):
+    """One visit's way to its client. Each visit gets exactly one of `seat`, `refuse` and `fail`."""
 
     def seat(self, leg: BoxLeg, receipt: object) -> None:
         """The push box took the visit: pass its receipt on, then everything, both ways."""
@@ -51,13 +51,13 @@
         """Final answer that promises nothing."""
 
     def move(self) -> None:
-        """Tell the carer to come again through the front, then end."""
+        """Tell the client to come again through the front, then end."""
 
     def end(self, how: Ending) -> None:
         """The push box ended a visit that stood."""
 
     def has_left(self) -> bool:
-        """Whether the carer has ended its side by now, be it heard of or not: a look at the wire, not a wait."""
+        """Whether the client has ended its side by now, be it heard of or not: a look at the wire, not a wait."""
 
 
 class BoxAsker(Protocol):
--- a/gradefront/core/quiet.py
+++ b/gradefront/core/quiet.py
@@ -25,7 +25,7 @@
 
     def heard(self, box: str) -> None:
         """A word came, on whatever visit, or the push box opened: the machine is there, and owes from the next
-        message on. Guards against knocks for ever at one whose carer left with a message out."""
+        message on. Guards against knocks for ever at one whose client left with a message out."""
         self.owed.pop(box, None)
 
     def due(self, now: int) -> list[str]:
--- a/gradefront/core/shortfall.py
+++ b/gradefront/core/shortfall.py
@@ -26,8 +26,8 @@
     FULL = "full"  # the push box turned it away, unseen
     ERROR = "error"  # the push box answered with an error
     SERVED = "served"  # the push box served it to its end
-    SENT_AWAY = "sent away"  # the push box asked the carer to come again
-    CALLED_OFF = "called off"  # this relay or the carer ended it
+    SENT_AWAY = "sent away"  # the push box asked the client to come again
+    CALLED_OFF = "called off"  # this relay or the client ended it
     NOT_TRIED = "not tried"  # nothing was sent at all
 
 
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -9,7 +9,7 @@
 
 from milletdeal.interface import LoadReport, Repeat, Request, Settings
 
-from .ports import BoxLeg, Call, CarerSide, Ending, ListWatcher
+from .ports import BoxLeg, Call, ClientSide, Ending, ListWatcher
 from .shortfall import Cause, Reach, Shortfall
 from .tally import Tally
 from .wheel import Timer
@@ -49,8 +49,8 @@
     def begins(self) -> bool:
         """Whether the relay begins anything new."""
 
-    def carer_left(self, visit: Visit, how: Ending) -> None:
-        """The carer's device ended its side."""
+    def client_left(self, visit: Visit, how: Ending) -> None:
+        """The client ended its side."""
 
     def came(self, attempt: Attempt) -> None:
         """It came further."""
@@ -62,7 +62,7 @@
         """It ended at the push box's side."""
 
     def move(self, visit: Visit) -> None:
-        """Tell the carer to come again, if the visit stands."""
+        """Tell the client to come again, if the visit stands."""
 
     def told_visit_load(self, attempt: Attempt, load: float) -> None:
         """The push box told the visit's load."""
@@ -98,17 +98,17 @@
 
 
 class Visit:
-    """One item that a carer's device brought: its number, its deadline, its one answer."""
+    """One item that a client brought: its number, its deadline, its one answer."""
 
-    __slots__ = ("number", "call", "carer", "caller", "deadline_us", "stage", "attempts", "attempt",
+    __slots__ = ("number", "call", "client", "caller", "deadline_us", "stage", "attempts", "attempt",
                  "pinned", "watch", "came_us", "settings", "ran_us")
 
-    def __init__(self, number: int, call: Call, carer: CarerSide, caller: BoxCaller, now_us: int,
+    def __init__(self, number: int, call: Call, client: ClientSide, caller: BoxCaller, now_us: int,
                  deadline_us: int, settings: Settings, pinned: str = "") -> None:
         self.number = number
         self.settings = settings  # under which it came
         self.call = call
-        self.carer = carer
+        self.client = client
         self.caller = caller
         self.came_us = now_us
         self.deadline_us = deadline_us
@@ -172,8 +172,8 @@
     def barred(self) -> Cause | None:
         """Why the request may not leave any more, asked as its first byte is about to be written; None: it may."""
         visit, desk = self.visit, self.desk
-        if not self.over and visit.carer.has_left():  # the end of its side may lie unread yet
-            desk.carer_left(visit, Ending.ORDERLY)
+        if not self.over and visit.client.has_left():  # the end of its side may lie unread yet
+            desk.client_left(visit, Ending.ORDERLY)
         if self.over or not desk.begins or not visit.may_repeat(desk.clock()):
             return Cause.NOT_TRIED
         if visit.pinned:
@@ -194,7 +194,7 @@
             self.desk.came(self)
 
     def stands(self, receipt: object) -> None:
-        """The push box took the visit; `receipt` goes to the carer as the box made it."""
+        """The push box took the visit; `receipt` goes to the client as the box made it."""
         if not self.over:
             self.desk.stands(self, receipt)
 
@@ -204,7 +204,7 @@
             self.desk.ends(self, Shortfall(self.reach, cause), how)
 
     def asked_box(self) -> None:
-        """The carer's device sent a message that the push box is to answer."""
+        """The client sent a message that the push box is to answer."""
         self.asked.append(self.desk.clock())
         self.desk.liveness.asked(self.box)
 
--- a/gradefront/net/boxleg.py
+++ b/gradefront/net/boxleg.py
@@ -88,7 +88,7 @@
         self.first = first
         self.line: BoxLine | None = None
         self.connector: Any = None
-        self.to_carer: Callable[[bytes], None] | None = None
+        self.to_client: Callable[[bytes], None] | None = None
         self.cause = Cause.BROKEN
         self.gone = False
         self.reports = attempt.visit.settings.reports is Reports.OUTCOMES
@@ -141,8 +141,8 @@
                 self.cause = Cause.SENT_AWAY
             elif word == b"BYE":
                 self.cause = Cause.SERVED
-        if self.to_carer:
-            self.to_carer(line + b"\r\n")
+        if self.to_client:
+            self.to_client(line + b"\r\n")
 
     def bad(self, what: str) -> None:
         """The push box sent what none sends."""
@@ -152,26 +152,26 @@
     def lost(self, how: Ending, rest: bytes) -> None:
         """The connection to the push box ended."""
         self.gone = True
-        if rest and self.to_carer and not self.attempt.over:
-            self.to_carer(rest)
+        if rest and self.to_client and not self.attempt.over:
+            self.to_client(rest)
         self.attempt.ends(self.cause if how is Ending.ORDERLY else Cause.BROKEN, how)
 
-    # ---- what the carer's side says
+    # ---- what the client's side says
 
     def pass_on(self, line: bytes) -> None:
-        """A whole line from the carer's device."""
+        """A whole line from the client."""
         if self.line and self.line.transport and not self.gone:
             self.attempt.asked_box()
             self.line.wire.write(line + b"\r\n")
 
     def pass_rest(self, rest: bytes) -> None:
-        """What the carer's device sent of an unfinished line before it ended."""
+        """What the client sent of an unfinished line before it ended."""
         if self.line and self.line.transport and not self.gone:
             self.line.wire.write(rest)
 
     def hang_up(self, how: Ending) -> None:
         """End this connection, in the way given."""
-        self.to_carer = None
+        self.to_client = None
         if self.line is None:
             if self.connector is not None and not self.gone:
                 self.gone = True
@@ -195,7 +195,7 @@
         self.address = address
 
     def call(self, attempt: Attempt, parcel: object) -> BoxLeg:
-        """Connect and send the carer's first line."""
+        """Connect and send the client's first line."""
         assert isinstance(parcel, FirstLine)
         leg = PlatformLeg(attempt, parcel, self.closing)
         where = self.address(attempt.box)
--- a/gradefront/net/front.py
+++ b/gradefront/net/front.py
@@ -1,4 +1,4 @@
-"""The platform's front: carers' connections, one visit each.
+"""The platform's front: clients' connections, one visit each.
 
 A connection stands at the door until its first line has made a visit. Whoever stays there, or says what no
 device says, is sent away soon and cheaply: such clients come by hundreds, and come back at once.
@@ -31,8 +31,8 @@
 IDS_KEPT = 4_096  # ids remembered: each connection has a new one, so that a second use is somebody else's
 
 
-class CarerLine(Lines):
-    """The lines to and from one carer's device."""
+class ClientProtocol(Lines):
+    """The lines to and from one client."""
 
     def __init__(self, front: PlatformFront) -> None:
         self.front = front
@@ -61,7 +61,7 @@
         try:
             self._line(line)
         except Exception:
-            log.exception("a carer's line failed")
+            log.exception("a client's line failed")
             self.front.desk.tally.add("exceptions")
             self.cut()
 
@@ -121,9 +121,9 @@
             self.leg.pass_rest(rest)
         self.closing = True
         if self.visit:
-            self.front.desk.carer_left(self.visit, ending(reason))
+            self.front.desk.client_left(self.visit, ending(reason))
 
-    # ---- as the core's carer side
+    # ---- as the core's client side
 
     def seat(self, leg: BoxLeg, receipt: object) -> None:
         """Pass the push box's own line on, then all lines."""
@@ -137,7 +137,7 @@
         assert leg.line
         ours, theirs = self.wire, leg.line.wire
         self.leg = leg
-        leg.to_carer = ours.write
+        leg.to_client = ours.write
         ours.registerProducer(theirs, True)
         theirs.registerProducer(ours, True)
 
@@ -194,7 +194,7 @@
 
 
 class PlatformFront(ServerFactory):
-    """Takes in carers' connections on the platform's protocol."""
+    """Takes in clients' connections on the platform's protocol."""
 
     noisy = False
 
@@ -204,17 +204,17 @@
         self.desk = desk
         self.caller = caller
         self.open = 0
-        self.door: dict[CarerLine, None] = {}  # connections that have made no visit yet, the oldest first
+        self.door: dict[ClientProtocol, None] = {}  # connections that have made no visit yet, the oldest first
         self.ids: dict[bytes, None] = {}  # of connections that made a visit, the oldest first
         self.closing = Closing(desk, config.sockets // PART)
         self.legs = legs or Closing(desk, config.sockets // PART)  # to push boxes, that are being ended
 
-    def buildProtocol(self, addr: object) -> CarerLine | None:
+    def buildProtocol(self, addr: object) -> ClientProtocol | None:
         """A device connects. None ends it at once: guards the last descriptors, which what stands needs."""
         if self.held() >= self.config.sockets - SPARE_SOCKETS // 2:
             self.desk.tally.add("no_sockets")
             return None
-        return CarerLine(self)
+        return ClientProtocol(self)
 
     def end_rest(self) -> None:
         """The relay ends: whoever stands at the door still is told to come again."""
@@ -226,7 +226,7 @@
         for a moment longer than the visit."""
         return self.open + len(self.desk.visits) + len(self.legs)
 
-    def came(self, line: CarerLine) -> None:
+    def came(self, line: ClientProtocol) -> None:
         """A connection came to the door. Where descriptors run short, who stood there longest goes."""
         self.open += 1
         self.door[line] = None
--- a/gradefront/net/lines.py
+++ b/gradefront/net/lines.py
@@ -1,4 +1,4 @@
-"""The platform's lines: what a carer's first line asks, and the load report in a push box's answer."""
+"""The platform's lines: what a client's first line asks, and the load report in a push box's answer."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 class BadLine(Exception):
-    """A first line that no carer's device sends."""
+    """A first line that no client sends."""
 
     def __init__(self, why: str, klass: str = "") -> None:
         super().__init__(why)
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True, frozen=True)
 class FirstLine:
-    """A carer's first line, kept so that it goes on unchanged but for the remaining time."""
+    """A client's first line, kept so that it goes on unchanged but for the remaining time."""
 
     head: bytes  # up to and including `d=`, or the whole line where it has none
     tail: bytes
--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -293,7 +293,7 @@
             opened = self._open(packet, owner.first_id)
             if opened and opened.close_code is not None:
                 if owner.visit:
-                    self.desk.carer_left(owner.visit, Ending.ORDERLY)
+                    self.desk.client_left(owner.visit, Ending.ORDERLY)
                 owner.forget()
                 return
             if opened and owner.hello:
@@ -542,7 +542,7 @@
         self.desk.tally.add("quic_unconfirmed")
         self.admission.credit(owner.client[0], came=False)
         if owner.visit:
-            self.desk.carer_left(owner.visit, Ending.ORDERLY)
+            self.desk.client_left(owner.visit, Ending.ORDERLY)
         owner.forget()
 
     def _gone_boxes(self) -> None:
@@ -619,7 +619,7 @@
             log.debug("visit %d goes on at another address", owner.visit.number)
         elif now - owner.used_us > self.quic.visit_idle_us:
             log.info("visit %d at push box %s has gone quiet", owner.visit.number, attempt.box)
-            self.desk.carer_left(owner.visit, Ending.ORDERLY)
+            self.desk.client_left(owner.visit, Ending.ORDERLY)
             owner.forget()
 
     def adopt(self, owner: QuicVisit, box: str) -> bool:
--- a/gradefront/quic/visits.py
+++ b/gradefront/quic/visits.py
@@ -1,4 +1,4 @@
-"""One QUIC connection as the core's carer side, and the attempts that place it."""
+"""One QUIC connection as the core's client side, and the attempts that place it."""
 
 from __future__ import annotations
 
@@ -135,7 +135,7 @@
             self.hello = None
         return found
 
-    # ---- as the core's carer side
+    # ---- as the core's client side
 
     def seat(self, leg: BoxLeg, receipt: object) -> None:
         """The push box's first sound answer goes to the client; from here on packets go by id."""
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -72,7 +72,7 @@
         if config.socket_fd is not None:
             self.listener = inherited(config.socket_fd)
             desk.lifecycle.opens = self._adopt
-        # A list from before may send carers to what another process, or the agent, has long been told drains.
+        # A list from before may send clients to what another process, or the agent, has long been told drains.
         at_once = config.socket_fd is not None or self.list_watch.pushed
         if at_once:
             desk.lifecycle.await_news()
--- a/gradefront/state/form.py
+++ b/gradefront/state/form.py
@@ -35,7 +35,7 @@
     load: float  # us of work a second, as last told; 0: not told
     heard_us: int
     asked_us: tuple[int, ...]  # messages that await a reply
-    from_carer: bytes  # of a line that has no end yet
+    from_carer: bytes  # the client's, of a line that has no end yet; a field of the form, so the name stays
     from_box: bytes
 
 
--- a/gradefront/state/handover.py
+++ b/gradefront/state/handover.py
@@ -20,7 +20,7 @@
 from gradefront.core.ports import Call
 from gradefront.core.visit import Stage, Visit
 from gradefront.net.boxleg import BoxLine, PlatformLeg
-from gradefront.net.front import CarerLine, PlatformFront
+from gradefront.net.front import ClientProtocol, PlatformFront
 from gradefront.net.lines import BadLine, FirstLine
 from gradefront.net.reactor import Reactor
 
@@ -45,8 +45,8 @@
         return self.protocol
 
 
-class JoinedCarer(CarerLine):
-    """A carer's line that was handed over: it is past the door."""
+class JoinedClient(ClientProtocol):
+    """A client's line that was handed over: it is past the door."""
 
     def connectionMade(self) -> None:
         """It made its visit long ago."""
@@ -107,24 +107,26 @@
         self.call = None
 
     def _give(self, visit: Visit) -> bool:
-        carer, attempt = visit.carer, visit.attempt
-        if visit.stage is not Stage.STANDING or attempt is None or not isinstance(carer, CarerLine) or carer.closing:
+        client, attempt = visit.client, visit.attempt
+        if visit.stage is not Stage.STANDING or attempt is None:
+            return False
+        if not isinstance(client, ClientProtocol) or client.closing:
             return False
         leg = attempt.leg
         if not isinstance(leg, PlatformLeg) or leg.gone or leg.line is None:
             return False
-        ours, theirs = carer.wire, leg.line.wire
+        ours, theirs = client.wire, leg.line.wire
         if self.call is None or not (_idle(ours) and _idle(theirs)):
             return False  # it writes still: next time
         call = visit.call
-        from_carer, from_box = carer.unfinished(), leg.line.unfinished()
+        from_carer, from_box = client.unfinished(), leg.line.unfinished()
         rules = ruled(visit.settings.classes[call.klass])
-        left = Left(carer.id.decode(), self.desk.book.names[call.klass], rules, call.key, call.group, call.tenant,
+        left = Left(client.id.decode(), self.desk.book.names[call.klass], rules, call.key, call.group, call.tenant,
                     attempt.box, attempt.load, attempt.heard_us, tuple(attempt.asked), from_carer, from_box)
         try:
             socket.send_fds(self.call, [write(left)], [ours.getHandle().fileno(), theirs.getHandle().fileno()])
         except OSError as error:
-            carer.take_bytes(from_carer)
+            client.take_bytes(from_carer)
             leg.line.take_bytes(from_box)
             if not isinstance(error, BlockingIOError):
                 log.warning("nothing more can be handed over: %s", error)
@@ -133,7 +135,7 @@
         release(ours)
         release(theirs)
         self.front.open -= 1
-        carer.closing, leg.gone = True, True
+        client.closing, leg.gone = True, True
         given_away(self.desk, visit)
         return True
 
@@ -275,24 +277,24 @@
         known = self.front.config.numbers.get(left.klass)
         same = known is not None and ruled(desk.settings.classes[known]) == left.rules
         klass = known if known is not None else next(iter(self.front.config.numbers.values()))
-        carer = JoinedCarer(self.front)
-        carer.id = left.id.encode()
+        client = JoinedClient(self.front)
+        client.id = left.id.encode()
         call = Call(0, None, klass, left.tenant, left.key, left.group, left.load, True)
-        visit, attempt = desk.take_over(call, carer, self.front.caller, left.box, left.heard_us, left.asked_us)
+        visit, attempt = desk.take_over(call, client, self.front.caller, left.box, left.heard_us, left.asked_us)
         leg = PlatformLeg(attempt, FirstLine(b"", b"", False), self.front.legs)
         leg.line = JoinedBox(leg)
         attempt.leg, attempt.load = leg, left.load
-        for fd, line in zip(fds, (carer, leg.line), strict=True):
+        for fd, line in zip(fds, (client, leg.line), strict=True):
             os.set_blocking(fd, False)
             self.reactor.adoptStreamConnection(fd, socket.AF_INET, _Joined(line))
         with suppress(BadLine):  # an id known here already is no reason to end it
-            self.front.new_id(carer.id)
-        carer.join(leg)
+            self.front.new_id(client.id)
+        client.join(leg)
         desk.tally.add("taken_over")
         if not same:
             desk.move(visit)
             return
-        carer.take_bytes(left.from_carer)
+        client.take_bytes(left.from_carer)
         leg.line.take_bytes(left.from_box)
 
 
--- a/lab/quic.py
+++ b/lab/quic.py
@@ -1,4 +1,4 @@
-"""Stand-in QUIC push boxes and carers' devices, on aioquic as the endpoint library."""
+"""Stand-in QUIC push boxes and clients, on aioquic as the endpoint library."""
 
 from __future__ import annotations
 
@@ -222,7 +222,7 @@
 
 
 class Device(Endpoint, asyncio.DatagramProtocol):
-    """A carer's device. `hop` changes its source port."""
+    """A client. `hop` changes its source port."""
 
     def __init__(self, front: Where, first_id: bytes | None = None) -> None:
         super().__init__(QuicConnection(configuration=QuicConfiguration(
--- a/lab/town.py
+++ b/lab/town.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the outside: discovery, push boxes, carers' devices; and the program itself, started."""
+"""Stand-ins for the outside: discovery, push boxes, clients; and the program itself, started."""
 
 from __future__ import annotations
 
@@ -153,7 +153,7 @@
 
 
 class LineDevice:
-    """A carer's device on the platform's lines."""
+    """A client on the platform's lines."""
 
     OPEN = "OPEN {id:016x} 7f3a9c21e0b4d655 c=visit-checkin,d={d},g=5c0f6e1a2b3d4c59{more}"
     IDS = count(0x9b1f03aa5c7e2d41)  # each connection has a new one
--- a/tests/helper.py
+++ b/tests/helper.py
@@ -21,8 +21,8 @@
         self.hung.append(how)
 
 
-class Carer:
-    """A carer's side that records all it is told, in order."""
+class Client:
+    """A client's side that records all it is told, in order."""
 
     def __init__(self) -> None:
         self.told: list[str] = []
@@ -98,20 +98,20 @@
             self.now = min(end, max(self.now + 1, self.desk.wheel.next_due() or end))
             self.desk.turn()
 
-    def arrive(self, patience_us: int = 2_000_000) -> tuple[Visit, Carer]:
-        """A carer comes."""
-        carer = Carer()
-        visit = self.desk.arrive(Call(patience_us, "parcel"), carer, self)
+    def arrive(self, patience_us: int = 2_000_000) -> tuple[Visit, Client]:
+        """A client comes."""
+        client = Client()
+        visit = self.desk.arrive(Call(patience_us, "parcel"), client, self)
         self.desk.turn()
-        return visit, carer
+        return visit, client
 
-    def standing(self, box: str = "box-1") -> tuple[Visit, Carer, Attempt]:
-        """A carer whose visit stands."""
-        visit, carer = self.arrive()
+    def standing(self, box: str = "box-1") -> tuple[Visit, Client, Attempt]:
+        """A client whose visit stands."""
+        visit, client = self.arrive()
         self.order(i.Start(visit.number, box, 1_000_000))
         self.attempts[-1].stands("receipt")
         self.desk.turn()
-        return visit, carer, self.attempts[-1]
+        return visit, client, self.attempts[-1]
 
     def outcomes(self, visit: Visit) -> list[i.Outcome]:
         """The ends of attempts that the module was told."""
--- a/tests/loop.py
+++ b/tests/loop.py
@@ -21,7 +21,7 @@
 from gradefront.config import parse
 from gradefront.core.ports import BoxLeg
 from gradefront.core.visit import Attempt
-from gradefront.net.front import CarerLine
+from gradefront.net.front import ClientProtocol
 from gradefront.serve import Relay
 from lab.town import settings
 
@@ -176,12 +176,12 @@
         self.until(lambda: set(self.relay.front.door) - before)
         return peer
 
-    def side(self, peer: Peer) -> CarerLine:
+    def side(self, peer: Peer) -> ClientProtocol:
         """The relay's side of a client's connection."""
         here = peer.sock.getsockname()
         for end in [*self.reactor.getReaders(), *self.reactor.getWriters()]:
             protocol = getattr(end, "protocol", None)
-            if isinstance(protocol, CarerLine) and end.socket.fileno() >= 0 and end.getPeer().port == here[1]:
+            if isinstance(protocol, ClientProtocol) and end.socket.fileno() >= 0 and end.getPeer().port == here[1]:
                 return protocol
         raise AssertionError("the relay has no such connection")
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,4 +1,4 @@
-"""The core's parts and its promises to carers, without any wire."""
+"""The core's parts and its promises to clients, without any wire."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from gradefront.core.wheel import SLOTS, TICK_US, Wheel
 from milletdeal import interface as i
 
-from .helper import Bench, Carer
+from .helper import Bench, Client
 
 
 def test_core_knows_no_wire() -> None:
@@ -98,18 +98,18 @@
     assert i.DelayNote(visit.number, "box-1", 40_000.0) in bench.events
 
 
-def test_unanswered_visit_is_failed_before_its_carer_gives_up() -> None:
+def test_unanswered_visit_is_failed_before_its_client_gives_up() -> None:
     bench = Bench()
-    _, carer = bench.arrive(1_000_000)
+    _, client = bench.arrive(1_000_000)
     bench.wait(1_000_000 - ANSWER_MARGIN_US - 4_000)
-    assert carer.told == []
+    assert client.told == []
     bench.wait(ANSWER_MARGIN_US)
-    assert carer.told == ["fail"]
+    assert client.told == ["fail"]
 
 
 def test_timed_out_attempt_is_called_off_and_its_late_word_does_not_count() -> None:
     bench = Bench()
-    visit, carer = bench.arrive()
+    visit, client = bench.arrive()
     bench.order(i.Start(visit.number, "box-1", 300_000))
     first = bench.attempts[0]
     first.came(Reach.WRITING)
@@ -118,9 +118,9 @@
     assert [o.result for o in bench.outcomes(visit)] == [i.Result.TIMEOUT] and len(bench.legs[0].hung) == 1
     bench.order(i.Start(visit.number, "box-2", 300_000))
     first.stands("late")
-    assert carer.told == [] and visit.stage is Stage.REACHING
+    assert client.told == [] and visit.stage is Stage.REACHING
     bench.attempts[1].stands("receipt")
-    assert carer.told == ["seat"]
+    assert client.told == ["seat"]
 
 
 def test_connect_has_its_own_patience() -> None:
@@ -143,15 +143,15 @@
 
 def test_brought_visit_goes_to_its_own_box_only_and_at_most_four_times() -> None:
     bench = Bench()
-    carer = Carer()
-    visit = bench.desk.bring_over(Call(1, "parcel"), carer, bench, "box-2")
+    client = Client()
+    visit = bench.desk.bring_over(Call(1, "parcel"), client, bench, "box-2")
     for n in range(4):
         assert len(bench.attempts) == n + 1 and bench.attempts[n].box == "box-2"
         bench.attempts[n].ends(Cause.BROKEN)
         bench.wait(9_000_000)
-    assert len(bench.attempts) == 4 and carer.told == ["fail"]
+    assert len(bench.attempts) == 4 and client.told == ["fail"]
     assert not [e for e in bench.events if isinstance(e, i.Request | i.Outcome | i.OpenConnection)]
-    visit = bench.desk.bring_over(Call(1, "parcel"), carer, bench, "box-2")
+    visit = bench.desk.bring_over(Call(1, "parcel"), client, bench, "box-2")
     bench.attempts[-1].stands("receipt")
     bench.desk.turn()
     assert [e.server for e in bench.events if isinstance(e, i.OpenConnection)] == ["box-2"]
@@ -160,20 +160,20 @@
 
 def test_a_brought_visit_whose_box_says_nothing_is_tried_again_in_time() -> None:
     bench = Bench()
-    visit = bench.desk.bring_over(Call(1, "parcel"), Carer(), bench, "box-2")
+    visit = bench.desk.bring_over(Call(1, "parcel"), Client(), bench, "box-2")
     bench.wait(11_000_000)
     assert len(bench.attempts) == 2 and bench.attempts[0].over and visit.stage is Stage.REACHING
 
 
 def test_silent_box_is_left_soon_and_a_quiet_one_is_not() -> None:
     bench = Bench()
-    quiet, quiet_carer, _ = bench.standing("box-2")
-    silent, carer, attempt = bench.standing("box-1")
+    quiet, quiet_client, _ = bench.standing("box-2")
+    silent, client, attempt = bench.standing("box-1")
     attempt.asked_box()
     bench.wait(1_400_000)
-    assert carer.told == ["seat"]
+    assert client.told == ["seat"]
     bench.wait(500_000)
-    assert carer.told == ["seat", "move"] and quiet_carer.told == ["seat"]
+    assert client.told == ["seat", "move"] and quiet_client.told == ["seat"]
     assert bench.outcomes(silent)[-1].result is i.Result.RESET and quiet.stage is Stage.STANDING
 
 
@@ -182,21 +182,21 @@
     bench = Bench()
     bench.desk.listed(i.ListUpdate(tuple(
         i.ServerEntry(f"box-{n}", zone=zone) for n, zone in enumerate((1, 1, 1, 1, 1, 1, 2)))))
-    carers = [bench.standing(f"box-{n % 7}")[1:] for n in range(14)]
-    carers[0][1].asked_box()
+    clients = [bench.standing(f"box-{n % 7}")[1:] for n in range(14)]
+    clients[0][1].asked_box()
     bench.wait(150_000)
     assert not bench.knocks, "a pause of a sound machine is no sign"
     bench.wait(200_000)
     assert bench.knocks == ["box-0"], "one new connection, whatever stands there"
     bench.desk.liveness.knocked("box-0", opened=False)
-    assert [c.told for c, _ in carers[::7]] == [["seat", "move"]] * 2
+    assert [c.told for c, _ in clients[::7]] == [["seat", "move"]] * 2
     assert bench.knocks[1:] == ["box-1", "box-2", "box-3"], "a few more in that zone, and none elsewhere"
     bench.desk.liveness.knocked("box-1", opened=True)
-    carers[2][1].heard_box()
+    clients[2][1].heard_box()
     bench.desk.liveness.knocked("box-2", opened=False)  # a word that came meanwhile says that it is there
     bench.desk.liveness.knocked("box-3", opened=False)
     bench.desk.turn()
-    assert [n for n, (c, _) in enumerate(carers) if "move" in c.told] == [0, 3, 7, 10]
+    assert [n for n, (c, _) in enumerate(clients) if "move" in c.told] == [0, 3, 7, 10]
     assert bench.knocks[4:] == ["box-4", "box-5"], "each that has vanished leads on, none is asked twice"
     silent = [e.server for e in bench.events if isinstance(e, i.Outcome) and e.result is i.Result.RESET]
     assert silent == ["box-0", "box-0", "box-3", "box-3"] and bench.desk.tally.counts["boxes_vanished"] == 2
@@ -204,7 +204,7 @@
 
 def test_a_push_box_that_answers_or_opens_is_not_knocked_at_again_and_again() -> None:
     bench = Bench()
-    _, carer, attempt = bench.standing()
+    _, client, attempt = bench.standing()
     for _ in range(20):  # answers within its aims
         attempt.asked_box()
         bench.wait(90_000)
@@ -215,15 +215,15 @@
         bench.wait(100_000)
         if bench.knocks:
             bench.desk.liveness.knocked("box-1", opened=True)
-    assert bench.knocks == ["box-1"] and carer.told == ["seat"]
+    assert bench.knocks == ["box-1"] and client.told == ["seat"]
 
 
-def test_a_push_box_that_opens_owes_nothing_more_once_its_carer_has_left() -> None:
-    """Guards against a knock a second for ever: a carer that leaves with a message out is owed no reply."""
+def test_a_push_box_that_opens_owes_nothing_more_once_its_client_has_left() -> None:
+    """Guards against a knock a second for ever: a client that leaves with a message out is owed no reply."""
     bench = Bench()
     visit, _, attempt = bench.standing()
     attempt.asked_box()
-    bench.desk.carer_left(visit, Ending.ORDERLY)
+    bench.desk.client_left(visit, Ending.ORDERLY)
     for _ in range(50):
         bench.wait(100_000)
         if bench.knocks:
@@ -235,25 +235,25 @@
 def test_one_connection_that_falls_silent_alone_tells_nothing_against_its_box() -> None:
     bench = Bench()
     _, other, sound = bench.standing()
-    silent, carer, attempt = bench.standing()
+    silent, client, attempt = bench.standing()
     attempt.asked_box()
     for _ in range(4):
         bench.wait(500_000)
         sound.asked_box()
         sound.heard_box()
-    assert carer.told == ["seat", "move"] and other.told == ["seat"]
+    assert client.told == ["seat", "move"] and other.told == ["seat"]
     assert bench.outcomes(silent)[-1].result is i.Result.CANCELLED
 
 
 def test_a_relay_that_was_asleep_itself_takes_no_box_for_silent() -> None:
     bench = Bench()
-    _, carer, attempt = bench.standing()
+    _, client, attempt = bench.standing()
     attempt.asked_box()
     bench.now += 3_000_000  # no turn for so long; the reply has come meanwhile, and is read after the look
     bench.desk.turn()
     attempt.heard_box()
     bench.wait(1_000_000)
-    assert carer.told == ["seat"]
+    assert client.told == ["seat"]
 
 
 def test_only_a_visit_with_nothing_passing_either_way_is_ended_as_its_device_is_gone() -> None:
@@ -269,12 +269,12 @@
 
 def test_an_exception_of_the_module_stops_at_its_visit() -> None:
     bench = Bench()
-    visit, carer = bench.arrive()
-    other, other_carer, _ = bench.standing()
+    visit, client = bench.arrive()
+    other, other_client, _ = bench.standing()
     bench.broken = True
     bench.desk.put(i.Outcome(visit.number, 0, "box-1", i.Result.FULL))
     bench.desk.turn()
-    assert carer.told == ["fail"] and other_carer.told == ["seat"] and other.stage is Stage.STANDING
+    assert client.told == ["fail"] and other_client.told == ["seat"] and other.stage is Stage.STANDING
     assert bench.desk.tally.counts["exceptions"] >= 1
 
 
@@ -284,7 +284,7 @@
     done = list[int]()
     began = bench.now
     bench.desk.lifecycle.leave(lambda: done.append(bench.now))
-    late, late_carer = bench.arrive()
+    late, late_client = bench.arrive()
     bench.order(i.Start(late.number, "box-1", 900_000))
     bench.attempts[-1].stands("receipt")
     _, waiting = bench.arrive(4_000_000)
@@ -294,26 +294,26 @@
     moved = sum("move" in c.told for c in standing)
     assert 10 < moved < 30, "spread, not all at once"
     bench.wait(1_000_000)
-    assert all(c.told == ["seat", "move"] for c in [*standing, late_carer])
+    assert all(c.told == ["seat", "move"] for c in [*standing, late_client])
     assert waiting.told == ["refuse"] and not bench.desk.visits
     assert len(done) == 1 and done[0] - began <= 2_300_000
 
 
 def test_a_leaving_relay_moves_off_a_busy_box_at_the_end_only_and_off_a_draining_one_at_once() -> None:
     bench = Bench()
-    busy, busy_carer, _ = bench.standing("box-1")
-    left, left_carer, _ = bench.standing("box-2")
+    busy, busy_client, _ = bench.standing("box-1")
+    left, left_client, _ = bench.standing("box-2")
     bench.desk.lifecycle.leave(lambda: None)
     bench.desk.listed(i.ListUpdate((i.ServerEntry("box-2", i.ServerState.DRAINING),), False))
     bench.order(i.Move(busy.number), i.Move(left.number))
-    assert busy_carer.told == ["seat"] and left_carer.told == ["seat", "move"]
+    assert busy_client.told == ["seat"] and left_client.told == ["seat", "move"]
     bench.wait(2_200_000)
-    assert busy_carer.told == ["seat", "move"]
+    assert busy_client.told == ["seat", "move"]
 
 
-def test_a_box_that_ends_a_visit_ends_its_carer_the_same_way() -> None:
+def test_a_box_that_ends_a_visit_ends_its_client_the_same_way() -> None:
     bench = Bench()
-    visit, carer, attempt = bench.standing()
+    visit, client, attempt = bench.standing()
     attempt.ends(Cause.BROKEN, Ending.BROKEN)
     bench.desk.turn()
-    assert carer.told == ["seat", "end"] and bench.outcomes(visit)[-1].final
+    assert client.told == ["seat", "end"] and bench.outcomes(visit)[-1].final
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,7 +10,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.python.failure import Failure
 
-from gradefront.net.front import SPARE_SOCKETS, CarerLine, PlatformFront
+from gradefront.net.front import SPARE_SOCKETS, ClientProtocol, PlatformFront
 from milletdeal import interface as i
 
 from .helper import Bench
@@ -48,7 +48,7 @@
 class Guest:
     """One connection at the front's door."""
 
-    def __init__(self, front: PlatformFront, line: CarerLine) -> None:
+    def __init__(self, front: PlatformFront, line: ClientProtocol) -> None:
         self.line = cast(Any, line)
         self.wire = Wire()
         self.line.makeConnection(self.wire)
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -9,7 +9,7 @@
 from gradefront.core.duty import Duty, Word, step
 from milletdeal import interface as i
 
-from .helper import Bench, Carer
+from .helper import Bench, Client
 
 FOUR_S = 4_000_000
 
@@ -27,14 +27,14 @@
 
 def test_a_drain_is_spread_over_its_time_and_answers_whoever_waits() -> None:
     bench = Bench()
-    carers = [bench.standing()[1] for _ in range(30)]
+    clients = [bench.standing()[1] for _ in range(30)]
     _, waiting = bench.arrive(4_800_000)
     assert bench.desk.lifecycle.lame_duck() and not bench.desk.lifecycle.takes_clients
     told = []
     for _ in range(40):
         bench.wait(100_000)
-        told.append(sum("move" in c.told for c in carers))
-    assert told[3] == 0, "the front still sends carers for a moment"
+        told.append(sum("move" in c.told for c in clients))
+    assert told[3] == 0, "the front still sends clients for a moment"
     assert all(b - a <= 3 for a, b in zip(told, told[1:], strict=False)), "no herd"
     assert told[-1] == 30 and waiting.told == ["refuse"]
     _, late, _ = bench.standing()
@@ -44,14 +44,14 @@
 
 def test_after_the_end_of_a_drain_nobody_is_moved_on_its_account() -> None:
     bench = Bench()
-    carers = [bench.standing()[1] for _ in range(10)]
+    clients = [bench.standing()[1] for _ in range(10)]
     bench.desk.lifecycle.lame_duck()
     bench.wait(1_000_000)
     assert bench.desk.lifecycle.rejoin() and bench.desk.lifecycle.takes_clients
-    moved = sum("move" in c.told for c in carers)
+    moved = sum("move" in c.told for c in clients)
     assert 0 < moved < 10
     bench.wait(6_000_000)
-    assert sum("move" in c.told for c in carers) == moved
+    assert sum("move" in c.told for c in clients) == moved
     bench.desk.listed(i.ListUpdate(()))
     assert not bench.desk.lifecycle.takes_clients, "no push box, no clients"
 
@@ -60,7 +60,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.bench = Bench()
-        self.stood: list[tuple[int, Carer]] = []
+        self.stood: list[tuple[int, Client]] = []
         self.lame_us = 0  # when the drain that is on began
         self.left_us = 0
         self.gone = False
@@ -99,7 +99,7 @@
     def yes_only_in_service_and_nobody_is_held_beyond_the_drain(self) -> None:
         desk = self.bench.desk
         assert desk.lifecycle.takes_clients == (not self.lame_us and not self.left_us)
-        held = [came for came, carer in self.stood if "move" not in carer.told]
+        held = [came for came, client in self.stood if "move" not in client.told]
         if self.lame_us and not self.gone and self.bench.now - self.lame_us >= FOUR_S:
             assert all(self.bench.now - came < 200_000 for came in held)
         if self.left_us and self.bench.now - self.left_us >= desk.lifecycle.kill_us:
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -30,7 +30,7 @@
 USUAL = HEAD + b"c=roster-feed,d=1500,g=000a0c821d1466e1"
 
 
-def test_a_first_line_says_what_the_carer_wants() -> None:
+def test_a_first_line_says_what_the_client_wants() -> None:
     call, at = read_first(HEAD + b"c=visit-checkin,d=1400,g=000a0c821d1466e1,r=1,again=1,at=s-1", CONFIG)
     assert (call.klass, call.patience_us, call.group) == (1, 1_400_000, "000a0c821d1466e1")
     assert call.is_retry and call.came_back and at == "s-1" and call.key == "7f3a9c21e0b4d655"
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -56,8 +56,8 @@
         self.passed.append(rest)
 
 
-def carer(parts: list[bytes]) -> object:
-    """A carer's first line, `PING`s before it, lines and half a line behind."""
+def client(parts: list[bytes]) -> object:
+    """A client's first line, `PING`s before it, lines and half a line behind."""
     bench = Bench()
     front = PlatformFront(CONFIG, bench.desk, bench)
     line, wire, leg = cast(Any, front.buildProtocol(None)), Piped(), RecordingLeg()
@@ -81,7 +81,7 @@
     leg = PlatformLeg(attempt, FirstLine(FIRST[:-2], b"", False), Closing(bench.desk, 8))
     line, wire, passed = cast(Any, leg.buildProtocol(None)), Piped(), list[bytes]()
     attempt.leg = leg
-    cast(Any, told).seat = lambda *_: setattr(leg, "to_carer", passed.append)
+    cast(Any, told).seat = lambda *_: setattr(leg, "to_client", passed.append)
     line.makeConnection(wire)
     for part in parts:
         line.dataReceived(part)
@@ -117,7 +117,7 @@
 
 
 WHOLE: dict[Callable[[list[bytes]], object], bytes] = {
-    carer: b"PING\r\nPING\r\n" + FIRST,
+    client: b"PING\r\nPING\r\n" + FIRST,
     box: b"UP r-1\r\nLOAD 512.5\r\nLOAD x\r\nhello\r\n" + b"y" * 4000 + b"\r\nBYE\r\n",
     probe: b"PONG x0=0.25,util=0.5\r\n",
     watch: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n" + PART[:9] + b"\r\n%x\r\n" % (len(PART) - 9)
@@ -142,9 +142,9 @@
 
 def test_lines_behind_the_first_in_pieces_reach_the_box_whole() -> None:
     lines = [b"one\r\n", b"two words\r\n", b"half"]
-    whole = cast(Any, carer([FIRST, b"".join(lines)]))
+    whole = cast(Any, client([FIRST, b"".join(lines)]))
     assert whole[2] == [b"one", b"two words", b"half"]
-    assert carer([FIRST, *(bytes([b]) for b in b"".join(lines))]) == whole
+    assert client([FIRST, *(bytes([b]) for b in b"".join(lines))]) == whole
 
 
 def test_who_does_not_read_its_move_is_cut_in_time() -> None:
@@ -158,7 +158,7 @@
     line, wire = cast(Any, front.buildProtocol(None)), Stuck()
     line.makeConnection(wire)
     line.dataReceived(FIRST)
-    line.visit.carer.seat = lambda *_: None
+    line.visit.client.seat = lambda *_: None
     bench.order(i.Start(line.visit.number, "box-1", 1_000_000))
     bench.attempts[-1].stands(b"UP r-1")
     line.dataReceived(b"half a li")
--- a/tests/test_quic_service.py
+++ b/tests/test_quic_service.py
@@ -61,7 +61,7 @@
 def test_hundreds_of_port_changes_and_every_request_gets_one_answer(tmp_path: Path) -> None:
     async def play() -> None:
         async with town(tmp_path, ["serve"] * 3) as here:
-            async def carer(n: int) -> None:
+            async def client(n: int) -> None:
                 device = await here.device()
                 home = here.box_of(await device.ask(f"{n}: first"))
                 for hop in range(HOPS):
@@ -70,7 +70,7 @@
                     assert answer == f"{home.name} has {n}: {hop}".encode(), "another push box answered"
                 assert all(len(a) == 1 for a in device.answers.values())
                 assert len(device.answers) == HOPS + 1
-            await asyncio.gather(*(carer(n) for n in range(DEVICES)))
+            await asyncio.gather(*(client(n) for n in range(DEVICES)))
             asked = sum((b.asked for b in here.boxes), start=here.boxes[0].asked.__class__())
             assert len(asked) == DEVICES * (HOPS + 1) and set(asked.values()) == {1}
             served = [c for b in here.boxes for c in b.connections]
@@ -236,5 +236,5 @@
             device.close()
             await here.relay.line("has gone quiet")
             counts = await here.relay.counters()
-            assert counts["ended_by_carer"] == 1 and counts["visits_now"] == 0
+            assert counts["ended_by_client"] == 1 and counts["visits_now"] == 0
     asyncio.run(play())
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -79,7 +79,7 @@
     book, merged = bench.desk.retuned(told, ("visit-checkin",))
     assert book.numbers() == {"visit-checkin": 1} and merged.classes[0] == CLASS
     bench.desk.retune(book, merged, True)
-    new, carer = bench.arrive()
+    new, client = bench.arrive()
     assert isinstance(bench.events[-2], i.NewSettings), "told before the first request under them"
     for visit, most in ((old, 4), (new, 1)):
         for _ in range(6):
@@ -92,7 +92,7 @@
     assert not new.may_be_refused, "what may have run and must not run twice is no invitation to come again"
     bench.desk.lifecycle.lame_duck()
     bench.wait(3_700_000)
-    assert carer.told == ["fail"]
+    assert client.told == ["fail"]
 
 
 def test_the_module_counts_the_rounds_of_a_request_by_the_settings_it_came_under() -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -63,7 +63,7 @@
             device.writer.close()
             await soon(here.boxes[0].ended.wait())
             counts = await here.relay.counters()
-            assert counts["visits"] == counts["stood"] == counts["ended_by_carer"] == 1
+            assert counts["visits"] == counts["stood"] == counts["ended_by_client"] == 1
             assert counts["visits_came_back"] == 1 and counts["visits_now"] == 0
     asyncio.run(play())
 
@@ -175,7 +175,7 @@
             await here.relay.line("leaving")
             late = await here.device()
             late.open()
-            assert await late.line() == "UP r-1", "carers that the front still sends are served"
+            assert await late.line() == "UP r-1", "clients that the front still sends are served"
 
             async def told(device: Device) -> float:
                 assert await device.ask("before") == "re:before"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -57,14 +57,14 @@
         assert bench.desk.lifecycle.takes_clients and len(opened) == 1 and opened[0] - began <= ready_us
 
 
-def test_a_replaced_process_tells_its_carers_from_the_start() -> None:
+def test_a_replaced_process_tells_its_clients_from_the_start() -> None:
     bench = Bench()
-    carers = [bench.standing()[1] for _ in range(30)]
+    clients = [bench.standing()[1] for _ in range(30)]
     bench.desk.lifecycle.leave(lambda: None, replaced=True)
     told = []
     for _ in range(22):
         bench.wait(100_000)
-        told.append(sum("move" in c.told for c in carers))
+        told.append(sum("move" in c.told for c in clients))
     assert told[1] > 0 and told[-1] == 30 and max(b - a for a, b in zip(told, told[1:], strict=False)) <= 4
 
 
--- a/tests/test_visit_model.py
+++ b/tests/test_visit_model.py
@@ -13,7 +13,7 @@
 from gradefront.core.visit import Attempt, Stage, Visit
 from milletdeal import interface as i
 
-from .helper import SETTINGS, Bench, Carer
+from .helper import SETTINGS, Bench, Client
 
 ANSWERS = {"seat", "refuse", "fail"}
 
@@ -23,7 +23,7 @@
     """What a visit should look like."""
 
     visit: Visit
-    carer: Carer
+    client: Client
     deadline: int
     stage: Stage = Stage.WAITING
     attempts: int = 0
@@ -45,8 +45,8 @@
 
     @rule(patience=st.integers(50_000, 2_000_000))
     def arrives(self, patience: int) -> None:
-        visit, carer = self.bench.arrive(patience)
-        self.models.append(Model(visit, carer, self.bench.now + patience))
+        visit, client = self.bench.arrive(patience)
+        self.models.append(Model(visit, client, self.bench.now + patience))
 
     @rule(n=st.integers(0), box=st.sampled_from(["box-1", "box-2"]), patience=st.integers(1, 900_000))
     def module_starts(self, n: int, box: str, patience: int) -> None:
@@ -68,7 +68,7 @@
         if model := self.pick(n):
             self.bench.order(i.Move(model.visit.number))
             if model.stage is Stage.STANDING:
-                assert model.carer.told[-1] == "move"
+                assert model.client.told[-1] == "move"
                 model.stage = Stage.ENDED
 
     @rule(n=st.integers(0), reach=st.sampled_from([Reach.WRITING, Reach.SENT]))
@@ -102,10 +102,10 @@
                 attempt.ends(cause)
 
     @rule(n=st.integers(0))
-    def carer_leaves(self, n: int) -> None:
+    def client_leaves(self, n: int) -> None:
         if model := self.pick(n):
             model.left = model.left or model.stage is not Stage.ENDED
-            self.bench.desk.carer_left(model.visit, Ending.ORDERLY)
+            self.bench.desk.client_left(model.visit, Ending.ORDERLY)
             model.stage = Stage.ENDED
 
     @rule(us=st.integers(4_000, 700_000))
@@ -117,8 +117,8 @@
                 assert model.stage in (Stage.WAITING, Stage.REACHING, Stage.ENDED)
 
     @invariant()
-    def the_figures_are_what_the_carers_heard(self) -> None:
-        told = [t for model in self.models for t in model.carer.told]
+    def the_figures_are_what_the_clients_heard(self) -> None:
+        told = [t for model in self.models for t in model.client.told]
         tally = self.bench.desk.tally
         for name, answer in (("answered_total", "seat"), ("deferred_total", "refuse"), ("errored_total", "fail")):
             assert tally.of_class(name, "visit-checkin") == told.count(answer)
@@ -130,7 +130,7 @@
         for model in self.models:
             assert model.visit.stage is model.stage
             assert model.visit.attempts == model.attempts <= SETTINGS.max_attempts
-            answers = [t for t in model.carer.told if t in ANSWERS]
+            answers = [t for t in model.client.told if t in ANSWERS]
             answered = not model.left and (model.stage is Stage.ENDED or self.bench.now >= model.deadline)
             assert len(answers) <= 1 and (answers or not answered), "exactly one answer, in time"
             assert (model.stage is Stage.ENDED) == (model.visit.number not in self.bench.desk.visits)
