--- /dev/null
+++ b/gradefront/quic/looks.py
@@ -0,0 +1,165 @@
+"""What the QUIC front looks after by the clock: who has gone, what has fallen silent, and whose a path is."""
+
+from __future__ import annotations
+
+import logging
+from itertools import islice
+
+from gradefront.core.ports import BoxLeg, Call, Ending
+from gradefront.core.shortfall import Cause
+from gradefront.core.visit import Attempt
+from milletdeal.interface import ServerState
+
+from .paths import Path
+from .tables import Tables
+from .visits import QuicLeg, QuicVisit, brought_over
+
+log = logging.getLogger("gradefront.quic")
+
+TICK_US = 125_000  # between two looks at a part of the tables; all are looked at in eight of them
+TICKS = 8
+SILENT_US = 5_000_000  # a push box that answers none of several datagrams for so long is gone
+SILENT_DATAGRAMS = 4
+QUIET_US = 5_000_000  # devices speak every 2 s: one quiet for longer may have gone on at another address
+ALONE_US = 6_000_000  # a path that no visit took over by then is a visit of its own
+START_US = 10_000_000  # after a start paths are adopted at once: no visit of ours can have left them
+EXCHANGES = 2  # datagrams each way that show a connection which goes on
+SERVING = (ServerState.READY, ServerState.DRAINING)
+
+
+class Looks(Tables):
+    """Looks at a part of the tables at a time, and tells the core."""
+
+    def call(self, attempt: Attempt, parcel: object) -> BoxLeg:
+        """Begin an attempt."""
+        assert isinstance(parcel, QuicVisit)
+        leg = parcel.leg = QuicLeg(self, parcel, attempt)
+        if parcel.brought is not None:  # it stands there already
+            attempt.leg = leg
+            attempt.stands(None)
+        elif attempt.box not in self.quic.boxes:
+            attempt.ends(Cause.UNREACHABLE)
+        else:
+            leg.begin()
+        return leg
+
+    def _tick(self) -> None:
+        self.desk.after(TICK_US, self._tick)
+        now = self.now()
+        for table in (self.answered, self.moved):
+            while table and next(iter(table.values()))[1] <= now:
+                table.popitem(last=False)
+        while self.unconfirmed:
+            owner = next(iter(self.unconfirmed))
+            if now - owner.since_us < self.quic.confirm_us:
+                break
+            self._nobody_there(owner)
+        self._gone_boxes()
+        if now - self.began_us < START_US + ALONE_US:  # later no path is young enough for the question
+            self.placed_since = self._placed_since()
+        # An eighth of the paths, the oldest first, each to the end of the line; then an eighth of the visits.
+        for path in list(islice(self.route_ids, len(self.route_ids) // TICKS + 1)):
+            self.route_ids[path] = self.route_ids.pop(path)
+            self._look_at_path(path, now)
+        for owner in list(islice(self.visits, len(self.visits) // TICKS + 1)):
+            del self.visits[owner]
+            self.visits[owner] = None
+            if owner.stands:
+                self._look_at_visit(owner, now)
+
+    def _nobody_there(self, owner: QuicVisit) -> None:
+        """The push box answered, and no client went on: a made-up sender, or one who left."""
+        self.desk.tally.add("quic_unconfirmed")
+        self.admission.credit(owner.client[0], came=False)
+        if owner.visit:
+            self.desk.client_left(owner.visit, Ending.ORDERLY)
+        owner.forget()
+
+    def _gone_boxes(self) -> None:
+        """A push box that the list no longer names gets nothing more, by any path."""
+        for box in self.quic.boxes:
+            serving = self.desk.boxes.get(box) in SERVING
+            if self.states.get(box, True) and not serving:
+                for path in [p for p in self.route_ids if p.box == box]:
+                    if path.owner is None:
+                        self._close_path(path)
+                for owner in [v for v in self.visits if v.stands and v.leg and v.leg.attempt.box == box]:
+                    assert owner.leg
+                    owner.leg.attempt.ends(Cause.BROKEN, Ending.BROKEN)
+            self.states[box] = serving
+    def _look_at_path(self, path: Path, now: int) -> None:
+        owner = path.owner
+        sent, heard = self.freshen(path, now)
+        if owner:
+            if sent:
+                owner.used_us, owner.client, owner.last_id = now, path.client, path.last_id or owner.last_id
+            if (sent or heard) and owner.leg:
+                owner.leg.attempt.alive()
+            if heard:
+                owner.unanswered = 0
+            elif sent:
+                if not owner.unanswered:
+                    owner.unanswered_us = now
+                owner.unanswered += sent
+        if now - path.used_us > self.quic.path_idle_us and not (owner and owner.reaching):
+            self._close_path(path)
+        elif owner is None and path.plain and path.heard >= EXCHANGES and path.sent >= EXCHANGES \
+                and self.desk.boxes.get(path.box) in SERVING \
+                and (now - path.since_us > ALONE_US or self._from_before(path)):
+            self._bring_over(path)
+
+    def _from_before(self, path: Path) -> bool:
+        """Whether a path without a visit goes on from before this relay's start: no visit that was placed
+        since can have left its old address for it."""
+        first = self.placed_since.get(path.box)
+        return path.since_us - self.began_us < START_US and (first is None or first >= path.since_us)
+
+    def _placed_since(self) -> dict[str, int]:
+        """By push box, since when the first of the visits there that this relay placed has been."""
+        since: dict[str, int] = {}
+        for v in self.visits:
+            if v.brought is None and v.leg:
+                box = v.leg.attempt.box
+                since[box] = min(v.since_us, since.get(box, v.since_us))
+        return since
+
+    def _bring_over(self, path: Path) -> None:
+        """A path that no visit has, and on which both sides speak: the module must count it."""
+        owner = brought_over(self, path)
+        self.visits[owner] = None
+        self._give(path, owner)
+        owner.visit = self.desk.bring_over(Call(self.config.settings.classes[path.door.klass].deadline_us,
+                                                owner, path.door.klass), owner, self, path.box)
+
+    def _look_at_visit(self, owner: QuicVisit, now: int) -> None:
+        assert owner.leg and owner.visit
+        attempt = owner.leg.attempt
+        if owner.unanswered >= SILENT_DATAGRAMS and now - owner.unanswered_us > SILENT_US:
+            attempt.ends(Cause.SILENT, Ending.BROKEN)
+        elif now - owner.used_us > QUIET_US and self.adopt(owner, attempt.box):
+            log.debug("visit %d goes on at another address", owner.visit.number)
+        elif now - owner.used_us > self.quic.visit_idle_us:
+            log.info("visit %d at push box %s has gone quiet", owner.visit.number, attempt.box)
+            self.desk.client_left(owner.visit, Ending.ORDERLY)
+            owner.forget()
+
+    def adopt(self, owner: QuicVisit, box: str) -> bool:
+        """A connection that takes a new address and a fresh id at once can't be told from others, by QUIC's
+        design. So a visit that has gone quiet takes over the paths at its push box that no visit has and that
+        began since: the core goes on holding one visit for each connection, and a move reaches its client."""
+        found = False
+        for path in list(owner.paths.values()):
+            if self.freshen(path, self.now())[0]:
+                owner.used_us = self.now()
+        while lone := [p for p in self.lone.values() if p.box == box and p.since_us > owner.used_us]:
+            path = min(lone, key=lambda p: p.since_us)
+            self.freshen(path, self.now())
+            self._give(path, owner)
+            owner.learn(path.last_id)
+            owner.client, owner.door = path.client, path.door
+            owner.last_id, owner.used_us = path.last_id, max(path.used_us, path.since_us)
+            owner.unanswered = 0
+            if owner.leg:
+                owner.leg.attempt.alive()
+            found = True
+        return found
