Take no connection over on the second front once the relay begins nothing more

Need: the second front obeys the same table of duties. Ruled out by the same test: an Initial that comes then is closed at once and sent on to nobody. Change: looks.py _look_at_path asks Desk.begins; the path's packets go on until the process ends.

--- a/gradefront/quic/looks.py
+++ b/gradefront/quic/looks.py
@@ -104,7 +104,7 @@
         if now - path.used_us > self.quic.path_idle_us and not (owner and owner.reaching):
             self._close_path(path)
         elif owner is None and path.plain and path.heard >= EXCHANGES and path.sent >= EXCHANGES \
-                and self.desk.boxes.get(path.box) in SERVING \
+                and self.desk.begins and self.desk.boxes.get(path.box) in SERVING \
                 and (now - path.since_us > ALONE_US or self._from_before(path)):
             self._bring_over(path)
 
--- a/tests/test_quic_model.py
+++ b/tests/test_quic_model.py
@@ -16,6 +16,7 @@
 
 from gradefront.config import Config
 from gradefront.core.desk import Desk
+from gradefront.core.duty import Word
 from gradefront.core.visit import Stage
 from gradefront.quic import config as quic_config
 from gradefront.quic.front import QuicFront
@@ -199,3 +200,31 @@
 
 TestTables = Tables.TestCase
 TestTables.settings = settings(max_examples=60, stateful_step_count=40, derandomize=True, deadline=None)
+
+
+def test_a_relay_that_stops_answers_what_comes_and_takes_no_visit_over() -> None:
+    town = Tables()
+    front, client = town.front, town.clients[0]
+    an_id = FORM.make(b"\0\0")
+    for _ in range(3):  # a connection from before this relay's start: both sides speak along a path without a visit
+        town.send(0, b"\x40" + an_id + b"talk to me, somebody who can read this")
+        where = town.at_boxes[-1][2]
+        town.boxes[0].sendto(b"\x40" + os.urandom(8) + b"talk", where)
+        town.settle()
+    (path,) = front.route_ids
+    assert path.owner is None and path.heard >= 2
+    assert town.desk.lifecycle.hear(Word.STOP)
+    town.wait(3_000)
+    assert path.owner is None and not town.desk.tally.counts["visits_brought"], "a visit taken over at the end"
+    drained(client)
+    town.at_boxes.clear()
+    first = os.urandom(8)
+    client.sendto(seal_initial(1, first, first, b"its own.", HELLO, True), front.doors[0].address)
+    for _ in range(10):
+        town.hub._serve(0)
+        town.now += 4_000
+        town.desk.turn()
+    assert len(drained(client)) == 1, "answered at once"
+    assert not drained(town.boxes[0]) + drained(town.boxes[1]) and not front.visits, "sent on to nobody"
+    assert not town.desk.tally.counts["exceptions"]
+    town.teardown()
