--- a/tests/test_moments_list.py
+++ b/tests/test_moments_list.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import socket
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from gradefront.core.visit import Attempt
 from lab.town import settings
 from milletdeal import interface as i
 
@@ -186,10 +188,9 @@
     assert loop.relay.box_list.revision == 3
 
 
-@pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
-def test_a_drain_that_lies_unread_as_a_connection_comes_up_counts(tmp_path: Path, phase: str) -> None:
-    backends = [Backend(), Backend()]
-    loop = Loop(tmp_path, backends)
+def connecting_beside_a_watch(loop: Loop) -> tuple[Peer, socket.socket, Peer, list[Attempt]]:
+    """A watch that has told the list, the relay's socket where what it tells next lies unread, and a client whose
+    connection to a backend comes up now, in a turn that keeps the loop busy."""
     first = watch(loop)
     first.send(chunk(line(loop.known)))
     call = loop.relay.list_watch.call
@@ -198,11 +199,19 @@
     attempts = hold_connects(loop)
     loop.open(client)
     loop.until(lambda: loop.wait(4_000) or attempts)
-    number = int(attempts[0].box[-1])
     assert call and call.line
-    loop.order.held = {call.line.wire.fileno()}  # the loop is busy with the turn in which the connection comes up
+    loop.order.held = {call.line.wire.fileno()}
+    return first, call.line.wire.socket, client, attempts
+
+
+@pytest.mark.parametrize("phase", ["DRAINING", "DELETED"])
+def test_a_drain_that_lies_unread_as_a_connection_comes_up_counts(tmp_path: Path, phase: str) -> None:
+    backends = [Backend(), Backend()]
+    loop = Loop(tmp_path, backends)
+    first, unread, _client, attempts = connecting_beside_a_watch(loop)
+    number = int(attempts[0].box[-1])
     first.send(chunk(line(change(loop, number, phase, 8))))
-    arrived(call.line.wire.socket)
+    arrived(unread)
     loop.until(lambda: attempts[0].over or attempts[0].wrote_us)
     assert attempts[0].over, "sent to a backend after its drain was told"
     other = backends[1 - number]
@@ -231,21 +240,12 @@
 def test_a_list_without_sense_or_end_that_lies_unread_holds_no_send_up(tmp_path: Path, junk: bytes) -> None:
     backend = Backend()
     loop = Loop(tmp_path, [backend])
-    first = watch(loop)
-    first.send(chunk(line(loop.known)))
-    call = loop.relay.list_watch.call
-    loop.until(lambda: call and call.news)
-    client = loop.client()
-    attempts = hold_connects(loop)
-    loop.open(client)
-    loop.until(lambda: loop.wait(4_000) or attempts)
-    assert call and call.line
-    loop.order.held = {call.line.wire.fileno()}
+    first, unread, _client, attempts = connecting_beside_a_watch(loop)
     first.sock.setblocking(False)
     with suppress(BlockingIOError):
         first.sock.send(chunk(junk))
     first.sock.settimeout(10)
-    arrived(call.line.wire.socket)
+    arrived(unread)
     with guarded():
         loop.until(lambda: attempts[0].wrote_us)
     at_backend = backend.accept()
