Log each send to a server in slow start and count refusals by reason

One line for each send to a server in slow start (id, age, start, capacity, estimate, held, room), one for its end; refusals and failures by reason, counted, one line a second each; the slow-start settings on a line of their own. `Start`, `Refuse` and `Fail` carry the reason (not compared, not printed); `Call` the client's connection id. No decision changes.

--- a/gradefront/core/ports.py
+++ b/gradefront/core/ports.py
@@ -29,6 +29,7 @@
     load_hint: float = 0.0
     came_back: bool = False
     is_retry: bool = False
+    connection_id: str = ""  # for the log: the front's name for the client's connection
 
 
 class UpstreamConnection(Protocol):
--- a/gradefront/core/relay.py
+++ b/gradefront/core/relay.py
@@ -22,6 +22,7 @@
 from .lifecycle import Lifecycle
 from .liveness import Liveness
 from .ports import Call, ClientSide, Decider, Ending, ListWatcher, Prober
+from .request_log import RequestLog
 from .timer_wheel import Timer, TimerWheel
 from .visit import Attempt, Stage, UpstreamConnector, Visit
 
@@ -52,6 +53,7 @@
         self.clock = clock
         self.poke = poke  # asks the platform for a turn soon
         self.counters = Counters()
+        self.request_log = RequestLog(self)
         self.timers = TimerWheel(clock())
         self.inbox: list[i.Event] = []
         self.visits: dict[int, Visit] = {}
@@ -269,12 +271,10 @@
         if standing:
             visit.client.move()
         elif isinstance(answer, i.Refuse):
-            self.counters.add("refused")
-            self.count("deferred_total", visit.call.klass)
+            self.request_log.on_refused(visit, answer)
             visit.client.refuse(answer.retry_after_us)
         else:
-            self.counters.add("failed")
-            self.count("errored_total", visit.call.klass)
+            self.request_log.on_failed(visit, answer)
             visit.client.fail()
 
     def over(self, visit: Visit) -> None:
@@ -299,12 +299,13 @@
             final, number = visit is None or visit.stage is Stage.ESTABLISHED, visit.attempts if visit else 0
             self.put(i.Outcome(start.request, number, start.server, i.Result.MOOT, final))
             return
-        self.begin_attempt(visit, start.server, min(visit.deadline_us, self.clock() + start.timeout_us))
+        self.begin_attempt(visit, start.server, min(visit.deadline_us, self.clock() + start.timeout_us), start.room)
 
-    def begin_attempt(self, visit: Visit, box: str, until_us: int) -> None:
-        """Begin an attempt."""
+    def begin_attempt(self, visit: Visit, box: str, until_us: int, room: i.SlowStartRoom | None = None) -> None:
+        """Begin an attempt; `room`: the server is in slow start, and had this much left."""
         visit.step(Stage.CONNECTING)
-        attempt = visit.attempt = Attempt(self, visit, box, until_us)
+        attempt = visit.attempt = Attempt(self, visit, box, until_us, room is not None)
+        self.request_log.on_send(attempt, room)
         visit.attempts += 1
         self.counters.add("attempts")
         connect_by = until_us
@@ -338,8 +339,7 @@
             self.put(i.OpenConnection(visit.request(self.clock()), attempt.box))
         else:
             self.put(i.Established(visit.number, attempt.number, attempt.box, now - attempt.began_us))
-        self.counters.add("stood")
-        self.count("answered_total", visit.call.klass)
+        self.request_log.on_established(visit)
         assert attempt.upstream is not None
         visit.client.seat(attempt.upstream, receipt)
 
@@ -364,6 +364,7 @@
 
     def tell_end(self, attempt: Attempt, attempt_error: AttemptError, final: bool) -> None:
         """Tell the module how an attempt ended."""
+        self.request_log.on_attempt_end(attempt, attempt_error)
         took = self.clock() - attempt.began_us
         self.put(
             i.Outcome(
--- a/gradefront/core/visit.py
+++ b/gradefront/core/visit.py
@@ -201,9 +201,10 @@
         "report",
         "load",
         "wrote_us",
+        "slow_start",
     )
 
-    def __init__(self, core: Owner, visit: Visit, box: str, until_us: int) -> None:
+    def __init__(self, core: Owner, visit: Visit, box: str, until_us: int, slow_start: bool = False) -> None:
         self.core = core
         self.visit = visit
         self.number = visit.attempts
@@ -211,6 +212,7 @@
         self.phase = AttemptPhase.CONNECTING
         self.began_us = self.heard_us = core.clock()
         self.until_us = until_us
+        self.slow_start = slow_start  # the server had just started
         self.wrote_us = 0  # when its first line began to be written
         self.timer: Timer | None = None
         self.upstream: UpstreamConnection | None = None
--- a/gradefront/net/lines.py
+++ b/gradefront/net/lines.py
@@ -85,6 +85,7 @@
         float(named.get("h", 0)),
         "again" in named,
         "r" in named,
+        read_id(line).decode("ascii"),
     )
     return call, named.get("at", "")
 
--- a/gradefront/serve.py
+++ b/gradefront/serve.py
@@ -327,6 +327,15 @@
         print(f"gradefront: {error}", file=sys.stderr)
         return 2
     log.info("settings: %s; message delays told: %s", config.settings, config.tells_delay)
+    told = config.settings
+    log.info(  # a line of its own: collectors cut long ones
+        "slow start: %d relays, capacity from %.2f, warm after %.1f s, overloaded by %.1f times it in %.2f s",
+        told.fleet_size,
+        told.start_capacity,
+        told.cold_us / 1e6,
+        told.tip_multiple,
+        told.fall_us / 1e6,
+    )
     if relay.port:
         where = relay.port.getHost()
         log.info("relay %s listens on %s:%d", config.name, where.host, where.port)
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -14,7 +14,7 @@
 from zlib import crc32
 
 from . import interface as i
-from .interface import Result, ServerState
+from .interface import HoldReason, Result, ServerState
 from .moves import DRAIN_SPREAD_US, MOVE_AT, MOVE_HOLD_US, Moves
 from .node import MEMORY_US
 from .records import Job, Server
@@ -108,7 +108,7 @@
         if self.random.random() < (good + bad - THROTTLE * good) / (good + bad + 1):
             self.bad.add(self.now, 1)  # guards against drowning what all servers depend on: hold back
             self._log("hold", "placements held back: errors, time-outs or full servers abound")
-            self._again(job)
+            self._again(job, HoldReason.THROTTLED)
             return
         job.turn += 1
         job.candidates, job.missing = self._sample(job), {}
@@ -183,19 +183,27 @@
         blind *= len(job.candidates) / max(1, fit) * (self.s.reports is not i.Reports.NONE)  # few meet all
         if not best or self.random.random() * blind > LIMIT - self._load(self.servers[best]):
             self.bad.add(self.now, FULL_SAY)
-            self._again(job)
+            self._again(job, self._why_not_placed(job))
             return
         server, cost = self.servers[best], self._cost(job)
         job.out = True
         job.tried.append(best)
         server.own += cost / self._full()
-        server.coming.add(job.request.request)
         timeout = min(job.deadline - self.now, int(job.klass.aim_us * SETUP_AIMS))
-        self._do(i.Start(job.request.request, best, max(1, timeout)))
+        self._do(i.Start(job.request.request, best, max(1, timeout), self._slow_start_room(server)))
+        server.coming.add(job.request.request)
         job.ran.append((server.entry, self.now))
 
-    def _again(self, job: Job) -> None:
+    def _why_not_placed(self, job: Job) -> HoldReason:
+        """Why none of the servers was taken."""
+        if job.candidates:
+            return HoldReason.NO_ROOM
+        usable = any(self._usable(server, job) for server in self.servers.values())
+        return HoldReason.SLOW_START if usable else HoldReason.NO_CANDIDATE
+
+    def _again(self, job: Job, why: HoldReason = HoldReason.ATTEMPT_FAILED) -> None:
         """Wait the next full-jitter delay and consider other servers, or give up at once."""
+        job.held = why
         job.rounds += 1
         wait = self._jitter(job.klass.aim_us * BASE_PART, job.klass.deadline_us * CAP_PART, job.rounds - 1)
         # Guards against a wait in vain: past the window of its first try no keyed request goes out again.
@@ -216,7 +224,7 @@
         harmless = not job.ran or repeat is i.Repeat.SAFE or shared
         pause = int(self.random.uniform(0, self.s.max_retry_after_us)) if self.s.retry_after else 0
         name = job.request.request
-        self._do(i.Refuse(name, pause) if harmless else i.Fail(name))
+        self._do(i.Refuse(name, pause, job.held) if harmless else i.Fail(name, job.held))
 
     def _established(self, event: i.Established) -> None:
         self.good.add(self.now, 1)
@@ -273,6 +281,7 @@
             and (job.klass.repeat is i.Repeat.UNSAFE or self.now >= job.ran[0][1] + job.klass.dedup_window_us)
         )
         over = once or outcome.result in (Result.ERROR, Result.CANCELLED, Result.MOOT)
+        job.held = HoldReason.NOT_REPEATABLE if over else HoldReason.ATTEMPT_FAILED
         (self._answer if over else self._again)(job)
 
     def _probed(self, event: i.ProbeResult) -> None:
--- a/milletdeal/records.py
+++ b/milletdeal/records.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
-from .interface import Request, RequestClass, ServerEntry
+from .interface import HoldReason, Request, RequestClass, ServerEntry
 
 
 @dataclass(slots=True)
@@ -44,6 +44,7 @@
     out: bool = False  # an attempt is pending
     candidates: list[str] = field(default_factory=list)
     missing: dict[str, None] = field(default_factory=dict)  # candidates whose probe is not back
+    held: HoldReason = HoldReason.ATTEMPT_FAILED  # why it was not sent last
     turn: int = 0  # timers set in an earlier turn no longer matter
 
 
--- a/milletdeal/slow_start.py
+++ b/milletdeal/slow_start.py
@@ -9,7 +9,7 @@
 
 import math
 
-from .interface import WeightKind
+from .interface import SlowStartRoom, WeightKind
 from .node import Node
 from .records import Job, Server
 
@@ -65,11 +65,32 @@
         coldness = self._coldness(server)
         if coldness >= 1:
             return True
+        return self._cold_held(server) + self._cost(job) <= self._cold_room(server, coldness)
+
+    def _cold_held(self, server: Server) -> float:
+        """What this node has standing or coming there, in mean connections."""
         works = [self.connections[r].work / self.mean_work if self.mean_work else 1.0 for r in server.open]
-        held = len(server.coming) + max(len(works), sum(works))  # a light one may grow
-        # Rounded at random: with a part below one connection, some nodes may send one and the others none.
-        room = LIMIT * coldness * self._cold_full() / self.s.fleet_size
-        return held + self._cost(job) <= room + server.chance
+        return len(server.coming) + max(len(works), sum(works))  # a light one may grow
+
+    def _cold_room(self, server: Server, coldness: float) -> float:
+        """What this node may have there. Rounded at random: with a part below one connection, some nodes may
+        send one and the others none."""
+        return LIMIT * coldness * self._cold_full() / self.s.fleet_size + server.chance
+
+    def _slow_start_room(self, server: Server) -> SlowStartRoom | None:
+        """For the log: what a server in slow start has room for; None for a warm one."""
+        coldness = self._coldness(server)
+        if coldness >= 1:
+            return None
+        return SlowStartRoom(
+            self.now - server.entry.started_us,
+            coldness,
+            self._cold_full(),
+            self._cold_held(server),
+            self._cold_room(server, coldness),
+            server.entry.started_us,
+            self.now < self.new_until,
+        )
 
     def _cost(self, job: Job) -> float:
         """The request's load in mean connections."""
