--- a/lab/town.py
+++ b/lab/town.py
@@ -142,16 +142,22 @@
         self.first_lines: list[str] = []
         self.writers: list[asyncio.StreamWriter] = []
         self.ended = asyncio.Event()
+        self.standing = 0  # connections that it serves
+
+    def load(self) -> float:
+        """What it reports when it is probed."""
+        return 0.25
 
     async def open(self) -> int:
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 20)
         return int(self.server.sockets[0].getsockname()[1])
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        serves = 0
         with suppress(ConnectionError, asyncio.IncompleteReadError):
             while line := (await reader.readline()).decode().removesuffix("\r\n"):
                 if line == "STATS":
-                    writer.write(b"PONG x0=0.25\r\n")
+                    writer.write(b"PONG x0=%.4f\r\n" % self.load())
                 elif line.startswith("OPEN "):
                     self.first_lines.append(line)
                     self.writers.append(writer)
@@ -162,9 +168,12 @@
                         writer.write(reply.encode() + b"\r\n")
                     if reply is not None and not reply.startswith("UP"):
                         break
+                    serves = int(reply is not None)
+                    self.standing += serves
                 else:
                     writer.write(b"re:" + line.encode() + b"\r\n")
             await writer.drain()
+        self.standing -= serves
         writer.close()
         self.ended.set()
 
