Force the overload by connections that end soon in the failing test

A red test has to be red each time. Change: a warm-up of 80 s in place of 20, so that 6.6 requests are borne in a second and the crowd is the same.

--- a/tests/test_slow_start_processes.py
+++ b/tests/test_slow_start_processes.py
@@ -11,6 +11,7 @@
 import pytest
 
 from lab.crowd import Fleet, Scene
+from lab.warm_up import SlowStartRules
 
 LIGHT, USUAL = 5_600.0, 80_000.0  # work of a connection, microseconds a second
 
@@ -19,7 +20,7 @@
     "scene",
     [
         Scene(relays=6, work=LIGHT),
-        Scene(relays=4, work=USUAL, short=0.9),
+        Scene(relays=4, work=USUAL, short=1.0, cold_age_s=28.0, rules=SlowStartRules(warm_s=80.0)),
     ],
     ids=["light", "short"],
 )
