Deal out what a server in slow start bears in a window as turns among the relays

Ruled out: one relay's doing (2 at most), start times (equal to monitoring's), retries, lists or starts in the window, probes. **Root cause**: the rule is a rate of all relays in a window; the guard held a stock for each, whose room was free again with each end, and whose part below one was rounded once for each server (`Server.chance`), so that parts saved up in quiet times came in one moment. What filled a server was taken from the work of few connections (`_full`, 20 to 200 where about 60 fill it). `tip_multiple` and `fall_us` were read and not used. Change: milletdeal/turns.py. A turn counts whatever becomes of the request, outlives lists and the server's return, and lapses unused; a process starts as one that has spent its turns; two processes at one listener share. capacity.py: a relay's share of what fills a warm server, by its connections there and the reported load. A request that finds no room may wait for the relay's next turn. Where servers report, the stock is judged by report. A look that probed nobody no longer counts as a failure in the throttle.

--- a/gradefront/config.py
+++ b/gradefront/config.py
@@ -6,7 +6,7 @@
 import math
 import re
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -17,6 +17,7 @@
 
 
 CLASS_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")  # in the settings, and in the first lines that name it
+PROCESSES_SHARING = 2  # one that leaves and one that takes over, where they share a listener
 MAY_LACK = ("aimStretch",)  # keys that the platform leaves out where they say nothing
 
 
@@ -104,6 +105,8 @@
     fd = environment.get("LB_SOCKET_FD")
     if fd and not (fd.isascii() and fd.isdigit()):
         raise ConfigError(f"LB_SOCKET_FD: '{fd}' is not the number of a descriptor")
+    if fd:
+        settings = replace(settings, processes=PROCESSES_SHARING)
     sockets = int(limits.get("sockets", 1024))
     if sockets < 1:
         raise ConfigError(f"limits.sockets: '{sockets}' is not above 0")
--- a/lab/crowd.py
+++ b/lab/crowd.py
@@ -108,6 +108,7 @@
         told = settings(AIM_MS, DEADLINE_MS, probes=True)
         told["rules"] |= scene.rules.settings()
         told["fleetSize"] = scene.relays
+        told["position"] = int(name.removeprefix("n"))
         relay = await self.stack.enter_async_context(program(home, self.discovery, told, name=name))
         self.relays[name], self.ports[name] = relay, relay.ports[0]
         self.stack.push_async_callback(self._drain_log, asyncio.ensure_future(self._read_log(relay)))
--- a/milletdeal/balance.py
+++ b/milletdeal/balance.py
@@ -18,7 +18,7 @@
 from .moves import DRAIN_SPREAD_US, MOVE_AT, MOVE_HOLD_US, Moves
 from .node import MEMORY_US
 from .records import Job, Server
-from .slow_start import LIMIT
+from .slow_start import BLIND_US, LIMIT
 
 ATTEMPTS = 5  # rounds: the paper's default, first included; of them no more than told may send
 BASE_PART = 1 / 6  # of the class's aim: first backoff ceiling, so that a retry can still be in time
@@ -40,7 +40,7 @@
 SHED_US = 5_000_000  # us: for so long after a drop, any report above MOVE_AT moves some
 THROTTLE = 2.0  # wanted placements for each that stood before some are held back
 FULL_SAY = 0.2  # of an error's say in the throttle: probing a full fleet for every waiting client is vain
-BLIND_US = 2_000_000  # us: a placement shows in reports after about this
+TURN_SPARE_US = 300_000  # us: time that an attempt needs after it has waited for a turn
 
 
 class Balancer(Moves):
@@ -105,7 +105,8 @@
     def _consider(self, job: Job) -> None:
         """Sample candidates; probe those whose figures are old; place when the answers are in."""
         good, bad = self.good.add(self.now, 0), self.bad.add(self.now, 0)
-        if self.random.random() < (good + bad - THROTTLE * good) / (good + bad + 1):
+        held_back = self.random.random() < (good + bad - THROTTLE * good) / (good + bad + 1)
+        if held_back and not self._in_turn():  # a turn is within what a server in slow start bears
             self.bad.add(self.now, 1)  # guards against drowning what all servers depend on: hold back
             self._log("hold", "placements held back: errors, time-outs or full servers abound")
             self._again(job, HoldReason.THROTTLED)
@@ -141,7 +142,8 @@
             for n in range(4 * most if self.ring else 0)
         )
         drawn = [self.ring[bisect_left(self.ring, (point, "")) % len(self.ring)][1] for point in points]
-        for name in [name for name, _ in self.kin.get(draw, Counter()).most_common(KIN_MOST)] + drawn:
+        kin = [name for name, _ in self.kin.get(draw, Counter()).most_common(KIN_MOST)]
+        for name in kin + self._in_turn() + drawn:
             if (
                 name in self.servers
                 and self._usable(self.servers[name], job)
@@ -181,8 +183,12 @@
         left = len(self.servers) - self.avoided(self.now)  # these alone share what all nodes send
         blind *= len(self.servers) / max(1, left)
         blind *= len(job.candidates) / max(1, fit) * (self.s.reports is not i.Reports.NONE)  # few meet all
-        if not best or self.random.random() * blind > LIMIT - self._load(self.servers[best]):
-            self.bad.add(self.now, FULL_SAY)
+        if best and self._coldness(self.servers[best]) < 1:  # what all may send it is dealt out
+            blind = self._cold_blind(self.servers[best])
+        crowded = best and self.random.random() * blind > LIMIT - self._load(self.servers[best])
+        if not best or crowded:
+            if job.candidates:  # a look that probed nobody costs nobody
+                self.bad.add(self.now, FULL_SAY)
             self._again(job, self._why_not_placed(job))
             return
         server, cost = self.servers[best], self._cost(job)
@@ -191,6 +197,7 @@
         server.own += cost / self._full()
         timeout = min(job.deadline - self.now, int(job.klass.aim_us * SETUP_AIMS))
         self._do(i.Start(job.request.request, best, max(1, timeout), self._slow_start_room(server)))
+        self._use_turn(server, cost)
         server.coming.add(job.request.request)
         job.ran.append((server.entry, self.now))
 
@@ -210,7 +217,13 @@
         keyed = job.ran and job.klass.repeat is i.Repeat.KEYED
         until = min(job.deadline, job.ran[0][1] + job.klass.dedup_window_us) if keyed else job.deadline
         spent = job.rounds >= ATTEMPTS or len(job.tried) >= job.most  # a look that sent nothing is no attempt
-        if spent or self.now + wait + 2 * self.s.resolution_us >= until:
+        late = self.now + wait + 2 * self.s.resolution_us >= until
+        # A look that sent nothing may wait for a turn at a server in slow start in place of its delay.
+        turn = self._next_turn(until - TURN_SPARE_US) if why is not HoldReason.ATTEMPT_FAILED else None
+        if turn and (spent or late or turn.start_us < self.now + wait):
+            turn.reserved = True
+            wait, spent, late = turn.start_us - self.now, False, False
+        if spent or late:
             self._answer(job)
         else:
             job.turn += 1
--- a/milletdeal/interface.py
+++ b/milletdeal/interface.py
@@ -99,6 +99,8 @@
     tenants: tuple[Tenant, ...] = ()
     zone: int = 0
     fleet_size: int = 1
+    position: int | None = None  # of this node among them, from 0
+    processes: int = 1  # that may run at a time under this position, as one takes over from another
     ask_for_list: bool = False
     ask_within_us: int = 10_000_000
     may_probe: bool = False
@@ -315,6 +317,7 @@
     fills: float  # connections that fill it once it is warm, as estimated
     held: float  # of this node: connections there and attempts out
     room: float  # this node's part of what it may hold
+    mean_sends: float  # what all nodes may send it by the multiple of what it can do
     started_us: int
     new_node: bool  # this node has seen too little to bound the estimate by its own count
 
@@ -323,6 +326,7 @@
             f"started at {self.started_us / 1e6:.2f}, {self.age_us / 1e6:.2f} s old"
             f", capacity {self.capacity:.2f}, filled by {self.fills:.1f}"
             f", held {self.held:.1f} of {self.room:.2f}"
+            f", mean sends {self.mean_sends:.2f}"
             f"{', new node' if self.new_node else ''}"
         )
 
--- a/milletdeal/known.py
+++ b/milletdeal/known.py
@@ -31,7 +31,10 @@
         if load is not None and 0 <= load < ABSURD:  # guards against lying reports; false for NaN too
             server.load, server.load_at, server.own = load, self.now, 0.0
             self.mean_load += (min(load, 2.0) - self.mean_load) / 16
-            if server.entry.zone == self.s.zone and self._coldness(server) >= 1:  # cold ones take little
+            if self._coldness(server) < 1:  # cold ones take little
+                return
+            self.capacity_share.on_report(self.now, server.entry.kind, len(server.open), min(load, 2.0))
+            if server.entry.zone == self.s.zone:
                 self.near_load += (min(load, 2.0) - self.near_load) / 8
 
     def _load(self, server: Server) -> float:
--- a/milletdeal/node.py
+++ b/milletdeal/node.py
@@ -9,8 +9,10 @@
 from typing import Any
 
 from . import interface as i
+from .capacity import CapacityShare
 from .interface import Action, ServerState
 from .records import Connection, Decaying, Job, Server
+from .turns import Dealer, TurnTable
 
 MEMORY_US = 1_500_000  # us: memory of the throttle and of the demand
 LOG_GAP_US = 5_000_000  # us: between two log lines of one kind
@@ -41,6 +43,8 @@
         self.near_load = 0.5  # and of those of warm servers in this zone
         self.mean_weight = 1.0  # of ready servers
         self.new_until = 0
+        self.capacity_share = CapacityShare()
+        self.turn_table: TurnTable | None = None  # from the first event on
         self.late_told = False
         self.mean_work = 0.0  # mean work of connections seen, us a second
         self.logged: dict[str, int] = {}
@@ -49,11 +53,20 @@
     def handle(self, now_us: int, event: i.Event) -> list[Action]:
         """Take one event at the clock time `now_us` and return what to do."""
         self.now, self.actions = now_us, []
+        if self.turn_table is None:
+            self.turn_table = self._new_turns()
         self.handlers[type(event)](event)
         return self.actions
 
     def _retune(self, event: i.NewSettings) -> None:
         self.s, self.ring_stale = event.settings, True
+        self.turn_table = self._new_turns()
+
+    def _new_turns(self) -> TurnTable:
+        """Turns under the present settings; what was sent under others counts as all that it might be."""
+        s = self.s
+        dealer = Dealer(s.position, s.fleet_size, s.fall_us, s.connect_timeout_us, s.processes)
+        return TurnTable(dealer, self.random, self.now)
 
     def avoided(self, now_us: int) -> int:
         """How many listed servers get nothing new now, or only where no others are left."""
--- a/milletdeal/slow_start.py
+++ b/milletdeal/slow_start.py
@@ -1,29 +1,38 @@
 """Slow start: how much a server that has just started may be sent, and by how much this node may add to that.
 
 A cold server falls when all nodes together send it more than a multiple of what it can do just then, within a
-short window that the settings name. No node knows what the others send. So each keeps to its part of what the
-server may hold as it warms, rounded at random where that is below one connection.
+short window that the settings name; what it rejects and what has ended by then counts. No node knows what the
+others send. So each keeps to its part of two bounds: of what may be sent in a window, and of what may stand
+there.
 """
 
 from __future__ import annotations
 
 import math
+from functools import partial
 
-from .interface import SlowStartRoom, WeightKind
+from .interface import Reports, ServerState, SlowStartRoom, WeightKind
 from .node import Node
 from .records import Job, Server
+from .turns import Turn
 
 LIMIT = 0.8  # load at which a server counts as full; loads swing, and near 1 work piles up
 LEAST_FULL = 10.0  # mean connections: what any server takes, until this node has seen enough to tell
+BLIND_US = 2_000_000  # us: a placement shows in reports after about this
 MOST_CORES = 16.0  # cores: the most that a rough weight is believed
 # Standard deviations of its own count within which a node believes other signs. Many, since traffic is
 # uneven: some nodes get several times the mean.
 DEVIATIONS = 6.0
+LEAST_SENDS = (
+    1.0  # requests a window, of all nodes together, that any server bears: the allowance for chance is more
+)
 
 
 class SlowStart(Node):
     """What fills a server, and what may go to cold ones."""
 
+    # ---- what fills a server
+
     def _part(self) -> float:
         return self.s.fleet_size / max(1, len(self.servers))  # a mean server's load for each of this node's
 
@@ -53,19 +62,36 @@
         # A node that has just started has no count yet; what comes back to it the servers bore a moment ago.
         return self._full() if self.now < self.new_until else min(self._full(), most)
 
-    def _coldness(self, server: Server) -> float:
+    # ---- what a cold one may get
+
+    def _age_us(self, server: Server) -> int:
+        return self.now - server.entry.started_us
+
+    def _coldness(self, server: Server, at_us: int | None = None) -> float:
         """Part of its capacity that a server has for certain by its start time; 1 when warm."""
         if not server.entry.started_us or self.s.cold_us <= 0:
             return 1.0
-        age = (self.now - server.entry.started_us) / self.s.cold_us
+        age = ((self.now if at_us is None else at_us) - server.entry.started_us) / self.s.cold_us
         return min(1.0, self.s.start_capacity + (1 - self.s.start_capacity) * max(0.0, age))
 
     def _cold_allows(self, server: Server, job: Job) -> bool:
-        """Guards against pushing a cold server over: this node's part of what all may have standing there."""
+        """Guards against pushing a cold server over: this node's part of what all may send and have there."""
         coldness = self._coldness(server)
         if coldness >= 1:
             return True
-        return self._cold_held(server) + self._cost(job) <= self._cold_room(server, coldness)
+        # Where servers report their load, that tells what stands there.
+        unseen = self.s.reports is Reports.NONE
+        if unseen and self._cold_held(server) + self._cost(job) > self._cold_room(server, coldness):
+            return False
+        if any(turn.open(self.now) for turn in self._turns_at(server)):
+            return True
+        age_s = self._age_us(server) / 1e6
+        mean = self._mean_sends(server, self.now)
+        self._log(
+            f"slow start {server.entry.server}",
+            f"{server.entry.server}, {age_s:.1f} s old, waits for this node's turn; all may send {mean:.1f}",
+        )
+        return False
 
     def _cold_held(self, server: Server) -> float:
         """What this node has standing or coming there, in mean connections."""
@@ -77,17 +103,71 @@
         send one and the others none."""
         return LIMIT * coldness * self._cold_full() / self.s.fleet_size + server.chance
 
+    # ---- turns: the budget of what is sent
+
+    def _mean_sends(self, server: Server, at_us: int) -> float:
+        """Requests that all nodes may send a cold server in the settings' time, by the multiple of what it
+        can do: new connections fill it over its warm-up, and no faster."""
+        holds = self._coldness(server, at_us) * self._known_full(server)
+        return self.s.tip_multiple * holds * self.s.fall_us / self.s.cold_us
+
+    def _known_full(self, server: Server) -> float:
+        """Connections that fill a server of this kind once it is warm, by this node's share of them."""
+        guess = LEAST_FULL * self._cores() / self.s.fleet_size
+        return self.capacity_share.connections(self.now, server.entry.kind, guess) * self.s.fleet_size
+
+    def _cold_blind(self, server: Server) -> float:
+        """Load that all nodes may add to a cold server before it shows in its reports."""
+        assert self.turn_table
+        dealer = self.turn_table.dealer
+        sent = dealer.many(self._mean_sends(server, self.now)) * BLIND_US / dealer.period_us
+        return sent / max(1.0, self._coldness(server) * self._known_full(server))
+
+    def _turns_at(self, server: Server) -> list[Turn]:
+        """This node's turns at a cold server that are open or come next."""
+        assert self.turn_table
+        entry = server.entry
+        return self.turn_table.at(self.now, entry.server, entry.started_us, partial(self._mean_sends, server))
+
+    def _own_turns(self) -> list[Turn]:
+        """This node's turns at all cold servers that may be used, now or soon."""
+        cold = [
+            s for s in self.servers.values() if self._coldness(s) < 1 and s.entry.state is ServerState.READY
+        ]
+        return [turn for server in cold for turn in self._turns_at(server) if not turn.used]
+
+    def _in_turn(self) -> list[str]:
+        """A cold server that this node may send to now: the turn lapses soon, and is nobody else's."""
+        names = [turn.server for turn in self._own_turns() if turn.open(self.now)]
+        return [self.random.choice(names)] if names else []
+
+    def _next_turn(self, until_us: float) -> Turn | None:
+        """The next turn that no request waits for yet."""
+        ahead = [
+            turn for turn in self._own_turns() if not turn.reserved and self.now < turn.start_us < until_us
+        ]
+        return min(ahead, key=lambda turn: turn.start_us, default=None)
+
+    def _use_turn(self, server: Server, cost: float) -> None:
+        """A request goes to a server. If that is cold it takes a turn or several, whatever becomes of it."""
+        left = math.ceil(cost)
+        for turn in self._turns_at(server) if self._coldness(server) < 1 else []:
+            if left > 0 and not turn.used and turn.end_us > self.now:
+                turn.used = True
+                left -= 1
+
     def _slow_start_room(self, server: Server) -> SlowStartRoom | None:
         """For the log: what a server in slow start has room for; None for a warm one."""
         coldness = self._coldness(server)
         if coldness >= 1:
             return None
         return SlowStartRoom(
-            self.now - server.entry.started_us,
+            self._age_us(server),
             coldness,
             self._cold_full(),
             self._cold_held(server),
             self._cold_room(server, coldness),
+            self._mean_sends(server, self.now),
             server.entry.started_us,
             self.now < self.new_until,
         )
--- a/milletdeal/wire.py
+++ b/milletdeal/wire.py
@@ -86,6 +86,7 @@
         tenants=tenants,
         zone=int(info.get("zone", 0)),
         fleet_size=int(info.get("fleetSize", 1)),
+        position=int(info["position"]) if "position" in info else None,
         ask_for_list=info.get("discovery") == "ask",
         ask_within_us=int(rules.get("askWithinUs", 10_000_000)),
         may_probe=bool(allow.get("probes")),
