--- a/milletdeal/turns.py
+++ b/milletdeal/turns.py
@@ -73,8 +73,8 @@
         reach into any span are borne."""
         # At even intervals a reach holds its length over theirs, rounded up. Random ones scatter, which takes
         # the allowance for chance.
-        borne_here = math.floor(borne(mean)) if self._placed() else mean + 1
-        return max(1, math.floor(borne_here / self.processes * self.period_us / self.reach_us))
+        each = math.floor(borne(mean) / self.processes) if self._placed() else (mean + 1) / self.processes
+        return max(1, math.floor(each * self.period_us / self.reach_us))
 
     def deal(self, server: str, period: int, mean: float, random: Random) -> list[Turn]:
         """This node's turns at a server in one period."""
--- /dev/null
+++ b/tests/test_slow_start_model.py
@@ -0,0 +1,191 @@
+"""Fleets of decision modules before servers in slow start, over drawn settings, sizes, endings, restarts and clocks.
+
+The verdict is the oracle's (`lab/warm_up.py`): no server is overloaded, and one that is cold is of use.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from itertools import count
+from random import Random
+
+import pytest
+
+from lab.warm_up import Arrival, SlowStartRules, WarmUp
+from milletdeal import Balancer
+from milletdeal import interface as i
+
+from .test_failures import PROBED, stand
+
+STEP_US = 20_000
+BEGIN_US = 10_000_000  # the burst begins
+LENGTH_US = 3_000_000
+WARM, VANISH, COLD = 7, 3, 3
+ENDINGS = (None, i.Result.OK, i.Result.FULL, i.Result.RESET, i.Result.CANCELLED)
+
+
+@dataclass(frozen=True)
+class Drawn:
+    """What one seed draws."""
+
+    nodes: int
+    rules: SlowStartRules
+    age_s: float  # of cold servers as the burst begins
+    fills: float
+    work: float  # of a connection, in mean ones
+    ending: i.Result | None  # how connections end soon; None: they stand
+    restarts: bool  # some nodes start anew in the burst
+    whole_lists: bool
+    returns: bool  # a cold server comes back under its name
+
+    @staticmethod
+    def of(seed: int) -> Drawn:
+        """The draw of a seed."""
+        random = Random(seed)
+        warm_s = random.uniform(8, 40)
+        rules = SlowStartRules(random.uniform(0.02, 0.4), warm_s, random.uniform(1.5, 4), random.choice((0.5, 1, 2)))
+        return Drawn(
+            nodes=random.choice((1, 2, 4, 6, 8, 16, 32, 64)),
+            rules=rules,
+            age_s=random.uniform(0, 0.7) * warm_s,
+            fills=random.uniform(20, 150),
+            work=random.choice((0.07, 1.0)),
+            ending=random.choice(ENDINGS),
+            restarts=random.random() < 0.3,
+            whole_lists=random.random() < 0.3,
+            returns=random.random() < 0.2,
+        )
+
+
+class FleetModel:
+    """The nodes of one draw, their clock, their timers, and servers that only count."""
+
+    def __init__(self, drawn: Drawn, seed: int) -> None:
+        self.drawn = drawn
+        self.random = Random(seed)
+        self.numbers = count(1)
+        self.now = 0
+        self.timers: list[tuple[int, int, Balancer, int]] = []  # due, order, node, number
+        self.ends: list[tuple[int, Balancer, int, str]] = []
+        self.order = count()
+        self.started = {f"s{n}": 0 for n in range(WARM)}
+        self.started |= {f"c{n}": BEGIN_US - int(drawn.age_s * 1e6) for n in range(COLD)}
+        self.warm_ups = {name: self._warm_up(name) for name in self.started}
+        self.nodes = [self._node(position) for position in range(drawn.nodes)]
+
+    def _warm_up(self, name: str) -> WarmUp:
+        return WarmUp(name, self.drawn.rules, self.started[name] / 1e6 or -1e6, self.drawn.fills)
+
+    def _node(self, position: int) -> Balancer:
+        drawn, rules = self.drawn, self.drawn.rules
+        settings = i.Settings(
+            **{
+                **PROBED,
+                "fleet_size": drawn.nodes,
+                "position": position,
+                "start_capacity": rules.start_capacity,
+                "cold_us": int(rules.warm_s * 1e6),
+                "tip_multiple": rules.multiple,
+                "fall_us": int(rules.window_s * 1e6),
+                "weight_kind": i.WeightKind.ROUGH,
+            }
+        )
+        node = Balancer(settings, self.random.getrandbits(30))
+        node.handle(self.now, self.list())
+        return node
+
+    def list(self) -> i.ListUpdate:
+        """The whole list."""
+        return i.ListUpdate(tuple(i.ServerEntry(name, started_us=at) for name, at in self.started.items()))
+
+    def fill(self) -> None:
+        """Half of what warm servers take stands, dealt at random, before the burst."""
+        self.now = BEGIN_US - 2_000_000
+        for n in range(int(WARM * self.drawn.fills / 2)):
+            node, request = self.random.choice(self.nodes), next(self.numbers)
+            stand(node, request, f"s{n % WARM}", self.now)
+            node.handle(self.now, i.LoadNote(request, f"s{n % WARM}", self.drawn.work * 80_000))
+        for node in self.nodes:
+            for n in range(WARM):
+                node.handle(self.now, i.ProbeResult(f"s{n}", i.Result.OK, report=i.LoadReport(0.5)))
+
+    def do(self, node: Balancer, event: i.Event) -> None:
+        """Have a node handle an event, and carry out what it says."""
+        actions = node.handle(self.now, event)
+        for action in actions:
+            if isinstance(action, i.SetTimer):
+                due = self.now + action.delay_us
+                self.timers.append((due, next(self.order), node, action.timer))
+            elif isinstance(action, i.Probe):
+                load = 0.75 if action.server.startswith("s") else 0.1
+                self.do(node, i.ProbeResult(action.server, i.Result.OK, report=i.LoadReport(load)))
+            elif isinstance(action, i.Start):
+                self.start(node, action)
+
+    def start(self, node: Balancer, action: i.Start) -> None:
+        """An attempt arrives; what becomes of it is drawn."""
+        self.warm_ups[action.server].arrive(Arrival(self.now / 1e6, str(id(node)), True))
+        ending = self.drawn.ending if action.server.startswith("c") else None
+        if ending in (None, i.Result.OK, i.Result.RESET, i.Result.CANCELLED):
+            self.do(node, i.Established(action.request, 0, action.server))
+        if ending:
+            self.do(node, i.Outcome(action.request, 0, action.server, ending, final=ending is not i.Result.FULL))
+
+    def step(self) -> None:
+        """Let the clock run by a step."""
+        self.now += STEP_US
+        due = sorted(timer for timer in self.timers if timer[0] <= self.now)
+        self.timers = [timer for timer in self.timers if timer[0] > self.now]
+        for _, _, node, number in due:
+            if node in self.nodes:
+                self.do(node, i.TimerFired(number))
+
+    def burst(self) -> None:
+        """Servers vanish, and a crowd comes within a second and a half; other things happen meanwhile."""
+        drawn, random = self.drawn, self.random
+        self.now = BEGIN_US
+        for n in range(VANISH):
+            del self.started[f"s{n}"]
+        for node in self.nodes:
+            gone = tuple(i.ServerEntry(f"s{n}", i.ServerState.GONE) for n in range(VANISH))
+            self.do(node, i.ListUpdate(gone, whole=False))
+        crowd = int(VANISH * drawn.fills)
+        for step in range(LENGTH_US // STEP_US):
+            self.step()
+            if step < 75:
+                for _ in range(max(1, crowd // 75)):
+                    back = i.Request(next(self.numbers), 2_000_000, came_back=True)
+                    self.do(random.choice(self.nodes), back)
+            if drawn.whole_lists and step % 10 == 0:
+                for node in self.nodes:
+                    self.do(node, self.list())
+            if drawn.restarts and step % 20 == 5:
+                self.nodes[step // 20 % drawn.nodes] = self._node(step // 20 % drawn.nodes)
+            if drawn.returns and step == 40:
+                self.started["c0"] = self.now
+                self.warm_ups["c0 again"] = self.warm_ups["c0"]
+                self.warm_ups["c0"] = self._warm_up("c0")
+                for node in self.nodes:
+                    self.do(node, self.list())
+
+
+def played(seed: int) -> FleetModel:
+    """The model of a seed, after its burst."""
+    model = FleetModel(Drawn.of(seed), seed)
+    model.fill()
+    model.burst()
+    return model
+
+
+@pytest.mark.parametrize("first", range(0, 48, 12))
+def test_no_server_in_slow_start_is_overloaded_whatever_is_drawn(first: int) -> None:
+    for seed in range(first, first + 12):
+        model = played(seed)
+        falls = [warm_up.fall for warm_up in model.warm_ups.values() if warm_up.fall]
+        assert not falls, f"seed {seed}: {model.drawn}: {'; '.join(str(fall) for fall in falls)}"
+
+
+def test_a_server_in_slow_start_is_of_use_while_there_is_work() -> None:
+    """Guards against a budget that is kept by sending nothing: in the mean over the draws, half of what may come."""
+    used = [played(seed).warm_ups[f"c{n}"].most_used for seed in range(100, 124) for n in range(COLD)]
+    assert sum(used) / len(used) >= 0.5, f"{sum(used) / len(used):.2f}"
