Soak slow start with relay processes, a fault proxy, signals and crowds

On the way: a run hung once as a process whose log nobody read any more was waited for; logs are read to their ends now.

--- a/lab/crowd.py
+++ b/lab/crowd.py
@@ -12,12 +12,14 @@
 from pathlib import Path
 from random import Random
 
-from .town import PATIENCE_S, Discovery, LineDevice, Program, program, settings
+from .fault_proxy import FaultProxy, Faults
+from .town import BUSY_S, PATIENCE_S, Discovery, LineDevice, Program, program, settings
 from .warm_up import Fall, SlowStartRules, WarmingBackend, WarmUp
 
 AIM_MS, DEADLINE_MS = 800, 4800
 LOOK_S = 0.02  # between two looks at a count
 RETURN_S = (0.058, 0.9)  # clients come back so long after a break
+KILL_S = 3.7  # from SIGTERM: the longest deadline, 3 s at most, and 0.7 s
 NO_ADVICE_S = 0.3  # and so long after a refusal without advice
 
 
@@ -34,6 +36,8 @@
     short: float = 0.0  # the part of connections that backends end soon
     rules: SlowStartRules = field(default_factory=SlowStartRules)
     seed: int = 1
+    faults: Faults = field(default_factory=Faults)
+    line_s: float = 0.4  # between two lines of a client that is served
 
 
 class Fleet:
@@ -51,9 +55,13 @@
         self.answers: Counter[str] = Counter()
         self.standing = 0
         self.clients: set[asyncio.Task[None]] = set()
+        self.reading: list[asyncio.Task[None]] = []  # the logs of all processes
         self.stack = AsyncExitStack()
         self.starts = count()
         self.ports: dict[str, int] = {}
+        self.proxies: dict[str, FaultProxy] = {}
+        self.killed_relays: set[int] = set()  # ports of processes that were killed outright
+        self.violations: list[str] = []  # what relays owed their clients and did not keep
 
     async def __aenter__(self) -> Fleet:
         scene = self.scene
@@ -68,9 +76,10 @@
         for client in self.clients:
             client.cancel()
         await asyncio.gather(*self.clients, return_exceptions=True)
-        for backend in self.backends.values():
-            backend.kill()
+        for name in list(self.backends):
+            self.kill_backend(name)
         await self.stack.aclose()
+        await asyncio.gather(*self.reading, return_exceptions=True)  # to their ends: a full pipe would hold them
 
     # ---- backends
 
@@ -78,16 +87,18 @@
         """A backend begins to serve, or comes back under its name; relays are told. 0: it started long ago."""
         scene = self.scene
         warm_up = WarmUp(name, scene.rules, started_s, scene.fills)
-        reply = f"UP r-1\r\nLOAD {scene.work}"
+        reply = f"UP {name}\r\nLOAD {scene.work}"
         backend = self.backends[name] = WarmingBackend(warm_up, time.time, self._sender, reply)
         backend.short = scene.short
         self.warm_ups.append(warm_up)
-        self.discovery.add(name, await backend.open())
+        proxy = self.proxies[name] = FaultProxy(await backend.open(), scene.faults, self.random.getrandbits(30))
+        self.discovery.add(name, await proxy.open())
         self.discovery.members[name]["up_since_ms"] = int(started_s * 1000)
         self.discovery.tell(name, "SERVING")
 
     def kill_backend(self, name: str) -> None:
         """It ends without a word; discovery does not know yet."""
+        self.proxies[name].close()
         self.backends[name].kill()
 
     def _sender(self, request: str) -> tuple[str, bool]:
@@ -111,24 +122,28 @@
         told["position"] = int(name.removeprefix("n"))
         relay = await self.stack.enter_async_context(program(home, self.discovery, told, name=name))
         self.relays[name], self.ports[name] = relay, relay.ports[0]
-        self.stack.push_async_callback(self._drain_log, asyncio.ensure_future(self._read_log(relay)))
+        self.reading.append(asyncio.ensure_future(self._read_log(relay)))
 
     async def _read_log(self, relay: Program) -> None:
         assert relay.process.stderr
         while raw := await relay.process.stderr.readline():
             relay.log.append(raw.decode().rstrip())
 
-    async def _drain_log(self, reading: asyncio.Task[None]) -> None:
-        reading.cancel()
-        await asyncio.gather(reading, return_exceptions=True)
-
     async def restart_relay(self, name: str, number: signal.Signals) -> None:
-        """End a relay's process by a signal, and start it again under its name."""
+        """End a relay's process by a signal, and start it again under its name. Who is told to end is killed at the
+        earliest moment that the protocol allows."""
         relay = self.relays.pop(name)
         if number is signal.SIGKILL:
-            del self.ports[name]
+            self.killed_relays.add(self.ports.pop(name))
         relay.process.send_signal(number)
-        await asyncio.wait_for(relay.process.wait(), PATIENCE_S)
+        try:
+            status = await asyncio.wait_for(relay.process.wait(), KILL_S + BUSY_S)
+            if number is signal.SIGTERM and status:
+                self.violations.append(f"{name} ended with status {status}")
+        except TimeoutError:
+            self.violations.append(f"{name} was there still {KILL_S + BUSY_S} s after SIGTERM")
+            relay.process.kill()
+            await relay.process.wait()
         self.ports.pop(name, None)
         await self.start_relay(name)
 
@@ -154,19 +169,19 @@
 
     async def _ask(self, relay: str, came_back: bool, wait_s: float) -> float:
         """One connection, to its end; how long the client waits then."""
-        device = await LineDevice.connect(self.ports[relay])
+        port = self.ports[relay]
+        device = await LineDevice.connect(port)
         try:
             self.sent_by[f"{device.id:016x}"] = relay
+            began = time.monotonic()
             device.open(d=DEADLINE_MS, more=",again=1" if came_back else "")
-            answer = await device.line()
+            answer = await self._answer(device)
             self.answers[answer.split()[0] if answer else "nothing"] += 1
+            late = time.monotonic() - began > DEADLINE_MS / 1000 + BUSY_S
+            if (late or not answer) and port not in self.killed_relays:
+                self.violations.append(f"{relay}: request {device.id:016x} got {answer!r}, late: {late}")
             if answer.startswith("UP"):
-                self.standing += 1
-                try:
-                    while await device.reader.readline() not in (b"", b"MOVE\r\n"):
-                        pass
-                finally:
-                    self.standing -= 1
+                await self._served(device, answer[3:], port)
             elif answer.startswith("BUSY "):
                 return float(answer.split()[1]) / 1000
             elif answer:
@@ -175,6 +190,35 @@
         finally:
             device.writer.close()
 
+    async def _answer(self, device: LineDevice) -> str:
+        """The final answer; nothing where the connection is cut."""
+        with suppress(ConnectionError):
+            return await device.line()
+        return ""
+
+    async def _served(self, device: LineDevice, backend: str, port: int) -> None:
+        """Send a line now and then until the connection's end, and see that the end is an orderly one."""
+        self.standing += 1
+        warm_up = self.backends[backend].warm_up
+        sending = asyncio.ensure_future(self._send_lines(device))
+        moved = False
+        try:
+            with suppress(ConnectionError):
+                while line := await device.reader.readline():
+                    moved = moved or line in (b"MOVE\r\n", b"BYE\r\n")
+        finally:
+            sending.cancel()
+            self.standing -= 1
+        alive = self.backends[backend].warm_up is warm_up and not self.proxies[backend].closed
+        if not moved and alive and port not in self.killed_relays:
+            self.violations.append(f"a connection to {backend}, which serves, was cut off without MOVE")
+
+    async def _send_lines(self, device: LineDevice) -> None:
+        with suppress(ConnectionError):
+            while True:
+                await asyncio.sleep(self.scene.line_s)
+                device.say("hello")
+
     async def stand(self, clients: int) -> None:
         """Wait until so many clients are served."""
         async with asyncio.timeout(PATIENCE_S):
