Leave a margin for servers that differ in the turns of slow start; postmortem

Ruled out: a relay's doing (two at most). **Root cause**: what fills a mean server was taken for what fills each; speeds of one kind differ by up to a quarter. Change: 0.8 (`LIMIT`) of the estimate counts. The guess of a relay that knows nothing weighs a quarter of a load and not a whole one: it held the estimate down where reports are few. The soak draws late reports and backends that differ; a client whose cancellation is swallowed (Python 3.11, `wait_for`) is cancelled again, so that a run ends; a run that hangs fails.

--- a/lab/crowd.py
+++ b/lab/crowd.py
@@ -37,6 +37,8 @@
     rules: SlowStartRules = field(default_factory=SlowStartRules)
     seed: int = 1
     faults: Faults = field(default_factory=Faults)
+    lag_s: float = 0.0  # by which reports of load are late
+    spread: float = 0.0  # of what fills a backend, up and down
     line_s: float = 0.4  # between two lines of a client that is served
 
 
@@ -73,9 +75,11 @@
         return self
 
     async def __aexit__(self, *exception: object) -> None:
-        for client in self.clients:
-            client.cancel()
-        await asyncio.gather(*self.clients, return_exceptions=True)
+        left = set(self.clients)
+        while left:  # again and again: a wait that ends in the very moment may swallow the cancellation
+            for client in left:
+                client.cancel()
+            _, left = await asyncio.wait(left, timeout=LOOK_S)
         for name in list(self.backends):
             self.kill_backend(name)
         await self.stack.aclose()
@@ -86,10 +90,11 @@
     async def add_backend(self, name: str, started_s: float) -> None:
         """A backend begins to serve, or comes back under its name; relays are told. 0: it started long ago."""
         scene = self.scene
-        warm_up = WarmUp(name, scene.rules, started_s, scene.fills)
+        fills = scene.fills * self.random.uniform(1 - scene.spread, 1 + scene.spread)
+        warm_up = WarmUp(name, scene.rules, started_s, fills)
         reply = f"UP {name}\r\nLOAD {scene.work}"
         backend = self.backends[name] = WarmingBackend(warm_up, time.time, self._sender, reply)
-        backend.short = scene.short
+        backend.short, backend.lag_s = scene.short, scene.lag_s
         self.warm_ups.append(warm_up)
         proxy = self.proxies[name] = FaultProxy(await backend.open(), scene.faults, self.random.getrandbits(30))
         self.discovery.add(name, await proxy.open())
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -22,6 +22,7 @@
 
 PLAY_S = 8.0  # from the moment when the first clients are served
 SIGNALS = (signal.SIGTERM, signal.SIGKILL, signal.SIGHUP)
+LONG_S = 90.0  # a run that takes longer hangs
 PARALLEL = 2  # runs at a time: more would make a machine late that has other work, too
 
 
@@ -57,6 +58,8 @@
         short=random.choice((0.0, 0.0, 0.5, 1.0)),
         rules=SlowStartRules(random.uniform(0.05, 0.35), warm_s, random.uniform(1.5, 3.5), random.choice((0.5, 1.0))),
         seed=seed,
+        lag_s=random.choice((0.0, 0.5, 1.2)),
+        spread=random.choice((0.0, 0.3)),
         faults=Faults(
             late=random.uniform(0, 0.3), reset_under=random.uniform(0, 0.1), dribble=random.uniform(0, 0.3)
         ),
@@ -118,7 +121,7 @@
     async def one(seed: int) -> Verdict:
         async with room:
             with tempfile.TemporaryDirectory() as folder:
-                verdict = await play(seed, Path(folder))
+                verdict = await asyncio.wait_for(play(seed, Path(folder)), LONG_S)
         print(verdict, flush=True)
         return verdict
 
--- a/lab/warm_up.py
+++ b/lab/warm_up.py
@@ -125,6 +125,8 @@
         self.clock = clock
         self.sender = sender  # who sent the request with this id, and whether it had been told of the start
         self.reply = reply
+        self.lag_s = 0.0  # a report tells the load of so long ago, and is made anew that often
+        self.reported = 0.0, 0.0  # the last report: when it was made, and the load
         self.short = 0.0  # the part of its connections that it ends soon
         self.served = count()
 
@@ -140,5 +142,10 @@
         return self.reply
 
     def load(self) -> float:
-        """Load over what it can do now."""
-        return self.standing / (self.warm_up.fills * self.warm_up.capacity(self.clock()))
+        """Load over what it can do, as last reported."""
+        now = self.clock()
+        load = self.standing / (self.warm_up.fills * self.warm_up.capacity(now))
+        at, told = self.reported
+        if now - at >= self.lag_s:
+            self.reported = now, load
+        return told if self.lag_s else load
--- a/milletdeal/capacity.py
+++ b/milletdeal/capacity.py
@@ -10,7 +10,7 @@
 
 MEMORY_US = 5_000_000  # us: what lies further back tells of other traffic
 ALL_KINDS_SAY = 2.0  # loads: as much as all kinds together weigh beside what was reported of one
-GUESS_SAY = 1.0  # loads: as much as the guess weighs beside all that was reported
+GUESS_SAY = 0.25  # loads: as much as the guess weighs beside all that was reported
 
 
 class Share:
--- a/milletdeal/slow_start.py
+++ b/milletdeal/slow_start.py
@@ -108,7 +108,7 @@
     def _mean_sends(self, server: Server, at_us: int) -> float:
         """Requests that all nodes may send a cold server in the settings' time, by the multiple of what it
         can do: new connections fill it over its warm-up, and no faster."""
-        holds = self._coldness(server, at_us) * self._known_full(server)
+        holds = LIMIT * self._coldness(server, at_us) * self._known_full(server)  # servers of a kind differ
         return self.s.tip_multiple * holds * self.s.fall_us / self.s.cold_us
 
     def _known_full(self, server: Server) -> float:
--- a/milletdeal/turns.py
+++ b/milletdeal/turns.py
@@ -17,7 +17,8 @@
 MANY = 30.0  # requests: from here on servers bear two deviations more than the mean, below three
 DEVIATIONS, DEVIATIONS_OF_MANY = 3, 2
 LEAST_PERIOD_US = 1_000_000  # us: turns are dealt out for so long at a time, or for longer spans
-LEAST_OPEN_US, MOST_OPEN_US = 20_000, 1_000_000  # us: a turn is open as long as the span, within these
+OPEN_PART = 1.0  # of the span: so long a turn can be used; shorter ones are more, but lapse unused
+LEAST_OPEN_US, MOST_OPEN_US = 20_000, 1_000_000  # us: a turn is open for so long
 GOLDEN = 0.618  # of the nodes: so far the first turn moves on from period to period, and comes round evenly
 MOST_TURNS = 64  # of one node at one server in a period
 
@@ -56,7 +57,7 @@
     @property
     def open_us(self) -> int:
         """How long a turn can be used."""
-        return min(max(LEAST_OPEN_US, self.span_us), MOST_OPEN_US)
+        return min(max(LEAST_OPEN_US, int(OPEN_PART * self.span_us)), MOST_OPEN_US)
 
     @property
     def reach_us(self) -> int:
