--- a/milletdeal/node.py
+++ b/milletdeal/node.py
@@ -15,6 +15,7 @@
 from .turns import Dealer, TurnTable
 
 MEMORY_US = 1_500_000  # us: memory of the throttle and of the demand
+HELD_UP_US = 150_000  # us: so long may a process be held up between reading its clock and writing
 LOG_GAP_US = 5_000_000  # us: between two log lines of one kind
 
 
@@ -65,7 +66,8 @@
     def _new_turns(self) -> TurnTable:
         """Turns under the present settings; what was sent under others counts as all that it might be."""
         s = self.s
-        dealer = Dealer(s.position, s.fleet_size, s.fall_us, s.connect_timeout_us, s.processes)
+        late_us = s.connect_timeout_us + HELD_UP_US
+        dealer = Dealer(s.position, s.fleet_size, s.fall_us, late_us, s.processes)
         return TurnTable(dealer, self.random, self.now)
 
     def avoided(self, now_us: int) -> int:
