--- a/milletdeal/slow_start.py
+++ b/milletdeal/slow_start.py
@@ -23,9 +23,6 @@
 # Standard deviations of its own count within which a node believes other signs. Many, since traffic is
 # uneven: some nodes get several times the mean.
 DEVIATIONS = 6.0
-LEAST_SENDS = (
-    1.0  # requests a window, of all nodes together, that any server bears: the allowance for chance is more
-)
 
 
 class SlowStart(Node):
