Log at each send in slow start what its slot was assigned for

Change: the line of a send to a backend in slow start ends with the mean sends for which its slot was assigned, and with this relay's connections at warm backends beside the loads that these reported. Decisions are as before.

--- a/balancer/actions.py
+++ b/balancer/actions.py
@@ -21,6 +21,9 @@
     mean_sends: float  # what all nodes may send it by the multiple of what it can do
     started_us: int
     is_new_node: bool  # this node has seen too little to bound the estimate by its own count
+    slot_mean_sends: float = 0.0  # as `mean_sends`, at the time when the send's slot was assigned
+    warm_connections: float = 0.0  # of this node at warm backends, summed over their recent reports
+    warm_load: float = 0.0  # reported by these backends, summed in the same way
 
     def __str__(self) -> str:
         return (
@@ -29,6 +32,8 @@
             f", held {self.held_connections:.1f} of {self.allowed_connections:.2f}"
             f", mean sends {self.mean_sends:.2f}"
             f"{', new node' if self.is_new_node else ''}"
+            f"; slot assigned for mean sends {self.slot_mean_sends:.2f}"
+            f", reports of warm backends: {self.warm_connections:.1f} connections, load {self.warm_load:.2f}"
         )
 
 
--- a/balancer/send_slots.py
+++ b/balancer/send_slots.py
@@ -36,6 +36,7 @@
     backend: str
     start_us: int
     end_us: int
+    mean_sends: float = 0.0  # what all nodes were to send it in the window, as the slot was assigned
     reserved: bool = False  # a request waits for it
     used: bool = False
 
@@ -88,7 +89,7 @@
         count = self.slots_per_period(mean)
         numbers = range(self._rank(backend, period, random), count, self.nodes)[:MAX_SLOTS]
         starts = [period * self.period_us + number * self.period_us // count for number in numbers]
-        return [SendSlot(backend, start, start + self.open_us) for start in starts]
+        return [SendSlot(backend, start, start + self.open_us, mean) for start in starts]
 
     def _has_position(self) -> bool:
         return self.position is not None and 0 <= self.position < self.nodes
--- a/balancer/slow_start.py
+++ b/balancer/slow_start.py
@@ -128,15 +128,21 @@
         capacity = self.capacity(backend)
         if capacity >= 1:
             return None
+        now_us = self._context.now_us
+        open_slots = [slot for slot in self._slots_at(backend) if slot.is_open(now_us)]
+        reports = self._load_estimate.capacity_share.all_kinds
         return SlowStartAllowance(
             self._age_us(backend),
             capacity,
             self._full_connections(),
             self._held(backend),
             self._allowed(backend, capacity),
-            self._mean_sends(backend, self._context.now_us),
+            self._mean_sends(backend, now_us),
             backend.entry.started_us,
             self._context.is_new_node(),
+            open_slots[0].mean_sends if open_slots else 0.0,
+            reports.held.value,
+            reports.load.value,
         )
 
     def _age_us(self, backend: Backend) -> int:
