Set beside a load report the connections that it can show, not those made since

Cause: what fills a backend is estimated by this relay's connections at warm backends over the loads that these report. A report is up to 2 s old, the connections were those of now. As a crowd comes, 15 connections stood beside a load of 0.00, and the quotient had no bound but the guess. Send slots by it were assigned for a period and the next, and used when the estimate had long come down.

Why this works: beside a report now stands the lowest count of the last 2 s (RecentMinimum). Whatever the report's age within them, its load came from at least so many connections, so the quotient is not over the true one. It also keeps the estimate low while connections leave.

--- a/balancer/admission.py
+++ b/balancer/admission.py
@@ -5,8 +5,8 @@
 from .connections import PendingRequest
 from .context import Context
 from .decaying import Decaying
-from .endpoints import Backend, EndpointTable
-from .load_estimate import FULL_LOAD, REPORT_DELAY_US, LoadEstimate
+from .endpoints import REPORT_DELAY_US, Backend, EndpointTable
+from .load_estimate import FULL_LOAD, LoadEstimate
 from .settings import LoadReportSource
 from .slow_start import SlowStart
 
--- a/balancer/connections.py
+++ b/balancer/connections.py
@@ -72,7 +72,7 @@
         if request.sticky_group:
             self.sticky_backends.setdefault(request.sticky_group, Counter())[backend] += 1
         if backend in self._endpoints.backends:
-            self._endpoints.backends[backend].connections[request.request_id] = None
+            self._endpoints.backends[backend].add_connection(request.request_id, self._context.now_us)
 
     def remove(self, request_id: int) -> None:
         """A connection has ended, or is about to. Raises KeyError for one that is not established."""
@@ -86,7 +86,7 @@
                 del self.sticky_backends[connection.group]
         backend = self._endpoints.backends.get(connection.backend)
         if backend:
-            backend.connections.pop(request_id, None)
+            backend.remove_connection(request_id, self._context.now_us)
 
     def holds_group(self, backend: str, group: str) -> bool:
         """Whether some connections of a sticky group are at a backend, through this node."""
--- a/balancer/endpoints.py
+++ b/balancer/endpoints.py
@@ -9,8 +9,10 @@
 
 from .context import Context
 from .events import BackendState, Endpoint, EndpointListUpdate
+from .recent_minimum import RecentMinimum
 from .settings import WeightKind
 
+REPORT_DELAY_US = 2_000_000  # until a placement shows in a backend's load reports
 RING_POINTS = 16  # of a mean backend: evens out the gaps between backends
 
 
@@ -26,6 +28,9 @@
     consecutive_errors: int = 0  # since a connection was last established
     ejected_until_us: int = 0
     connections: dict[int, None] = field(default_factory=dict)  # this node's, by request id
+    reported_connections: RecentMinimum = field(  # this node's, as far as reports show them for certain
+        default_factory=lambda: RecentMinimum(REPORT_DELAY_US)
+    )
     rounding: float = 0.0  # in [0, 1): rounds this node's part of a warming backend up or down
     in_flight: set[int] = field(default_factory=set)  # requests whose attempt is out here
     overloaded_until_us: int = 0  # it has dropped a connection not long before this
@@ -36,6 +41,16 @@
     drain_notified: bool = False  # it has begun to drain, and its connections are being migrated
     awaiting_health_check: list[int] = field(default_factory=list)  # requests
 
+    def add_connection(self, request_id: int, now_us: int) -> None:
+        """A connection of this node has been established here."""
+        self.connections[request_id] = None
+        self.reported_connections.set(now_us, len(self.connections))
+
+    def remove_connection(self, request_id: int, now_us: int) -> None:
+        """A connection of this node has ended, if it was here."""
+        self.connections.pop(request_id, None)
+        self.reported_connections.set(now_us, len(self.connections))
+
 
 class EndpointTable:
     """The backends of the endpoint list, by name, and the ring of those that are ready.
--- a/balancer/load_estimate.py
+++ b/balancer/load_estimate.py
@@ -12,7 +12,6 @@
 from .settings import LoadReportSource, WeightKind
 
 FULL_LOAD = 0.8  # load at which a backend counts as full; loads swing, and near 1 work piles up
-REPORT_DELAY_US = 2_000_000  # until a placement shows in reports
 REPORT_MEMORY_US = 4_000_000  # age at which a report's weight beside the mean has decayed to 1/e
 MAX_PLAUSIBLE_LOAD = 100.0  # a report from here on is ignored
 MAX_LOAD_IN_MEANS = 2.0  # one report counts for no more
@@ -49,7 +48,10 @@
         self.mean_load += (bounded - self.mean_load) / MEAN_LOAD_REPORTS
         if available_capacity(settings, entry.started_us, now_us) < 1:  # warming up, it takes little
             return
-        self.capacity_share.on_report(now_us, entry.kind, len(backend.connections), bounded)
+        # Guards against connections of now beside the load of before them: as a crowd comes, their quotient
+        # has no bound, and what backends in slow start are sent follows it.
+        held = backend.reported_connections.get(now_us)
+        self.capacity_share.on_report(now_us, entry.kind, held, bounded)
         if entry.zone == settings.zone:
             self.zone_load += (bounded - self.zone_load) / ZONE_LOAD_REPORTS
 
--- a/balancer/slow_start.py
+++ b/balancer/slow_start.py
@@ -15,9 +15,9 @@
 from .capacity import available_capacity
 from .connections import ConnectionTable, PendingRequest
 from .context import Context
-from .endpoints import Backend, EndpointTable
+from .endpoints import REPORT_DELAY_US, Backend, EndpointTable
 from .events import BackendState
-from .load_estimate import FULL_LOAD, MIN_FULL_CONNECTIONS, REPORT_DELAY_US, LoadEstimate
+from .load_estimate import FULL_LOAD, MIN_FULL_CONNECTIONS, LoadEstimate
 from .send_slots import SendSlot, SendSlotTable, SlotSchedule
 from .settings import LoadReportSource
 
