Take adopted connections as those that load reports show already

Cause: an adopted connection counted as a new one, which a report may not show yet. It stood at its backend before.

Change: adoption raises the whole recent past of the count. The test of load reports makes its connections in the way of a request now, since its adopted ones no longer are what it is about, and one for adopted ones is new; that failed before.

--- a/balancer/balancer.py
+++ b/balancer/balancer.py
@@ -148,10 +148,10 @@
 
     def _on_adopted(self, event: ConnectionAdopted) -> None:
         self.context.on_adopted()
-        self._add_connection(event.request, event.backend)
+        self._add_connection(event.request, event.backend, is_adopted=True)
 
-    def _add_connection(self, request: Request, backend: str) -> None:
-        self.connections.add(request, backend)
+    def _add_connection(self, request: Request, backend: str, is_adopted: bool = False) -> None:
+        self.connections.add(request, backend, is_adopted)
         self.migration.on_established(request, backend)
 
     def _on_client_disconnected(self, event: ClientDisconnected) -> None:
--- a/balancer/connections.py
+++ b/balancer/connections.py
@@ -61,8 +61,8 @@
         self.mean_work = 0.0
         self._open_by_tenant: Counter[int] = Counter()
 
-    def add(self, request: Request, backend: str) -> None:
-        """A connection has been established at a backend."""
+    def add(self, request: Request, backend: str, is_adopted: bool = False) -> None:
+        """A connection has been established at a backend, or adopted there."""
         classes = self._context.settings.classes
         request_class = classes[min(max(request.request_class, 0), len(classes) - 1)]
         self.by_id[request.request_id] = Connection(
@@ -72,7 +72,8 @@
         if request.sticky_group:
             self.sticky_backends.setdefault(request.sticky_group, Counter())[backend] += 1
         if backend in self._endpoints.backends:
-            self._endpoints.backends[backend].add_connection(request.request_id, self._context.now_us)
+            now_us = self._context.now_us
+            self._endpoints.backends[backend].add_connection(request.request_id, now_us, is_adopted)
 
     def remove(self, request_id: int) -> None:
         """A connection has ended, or is about to. Raises KeyError for one that is not established."""
--- a/balancer/endpoints.py
+++ b/balancer/endpoints.py
@@ -41,10 +41,13 @@
     drain_notified: bool = False  # it has begun to drain, and its connections are being migrated
     awaiting_health_check: list[int] = field(default_factory=list)  # requests
 
-    def add_connection(self, request_id: int, now_us: int) -> None:
-        """A connection of this node has been established here."""
+    def add_connection(self, request_id: int, now_us: int, is_adopted: bool) -> None:
+        """A connection of this node has been established here, or adopted: then reports show it already."""
         self.connections[request_id] = None
-        self.reported_connections.set(now_us, len(self.connections))
+        if is_adopted:
+            self.reported_connections.raise_by(1)
+        else:
+            self.reported_connections.set(now_us, len(self.connections))
 
     def remove_connection(self, request_id: int, now_us: int) -> None:
         """A connection of this node has ended, if it was here."""
--- a/balancer/recent_minimum.py
+++ b/balancer/recent_minimum.py
@@ -21,6 +21,11 @@
         self._past.append((now_us, self._value))
         self._value = value
 
+    def raise_by(self, amount: int) -> None:
+        """The count is higher by this than was known, and has been all the while."""
+        self._value += amount
+        self._past = [(until_us, value + amount) for until_us, value in self._past]
+
     def get(self, now_us: int) -> int:
         """The lowest value from `memory_us` ago until now."""
         while self._past and self._past[0][0] <= now_us - self._memory_us:
--- a/tests/test_load_estimate.py
+++ b/tests/test_load_estimate.py
@@ -6,7 +6,15 @@
 from hypothesis import strategies as st
 
 from balancer import Balancer
-from balancer.events import AttemptResult, Endpoint, EndpointListUpdate, HealthCheckResult, LoadReport
+from balancer.events import (
+    AttemptResult,
+    ConnectionEstablished,
+    Endpoint,
+    EndpointListUpdate,
+    HealthCheckResult,
+    LoadReport,
+    Request,
+)
 from balancer.recent_minimum import RecentMinimum
 from balancer.settings import Settings
 
@@ -29,7 +37,9 @@
     b = Balancer(Settings(**PROBED), 1)
     b.handle(0, EndpointListUpdate((Endpoint("s0"),)))
     for n in range(connections):
-        stand(b, n, "s0", first_us + n * SECOND_US // connections)
+        now_us = first_us + n * SECOND_US // connections
+        b.handle(now_us, Request(n, SECOND_US))
+        b.handle(now_us, ConnectionEstablished(n, 0, "s0"))
     return b
 
 
@@ -49,6 +59,16 @@
     assert 70 < full_connections(b, 15 * SECOND_US) <= 80
 
 
+def test_adopted_connections_are_in_the_reports_already() -> None:
+    """Guards against a relay that takes over from another and sends next to nothing to backends in slow start."""
+    b = Balancer(Settings(**PROBED), 1)
+    b.handle(0, EndpointListUpdate((Endpoint("s0"),)))
+    for n in range(40):
+        stand(b, n, "s0", 10 * SECOND_US)
+    report(b, 10 * SECOND_US, 0.5)
+    assert 50 < full_connections(b, 10 * SECOND_US) <= 80
+
+
 @given(
     st.lists(st.tuples(st.integers(0, 900), st.integers(0, 9)), max_size=30),
     st.integers(0, 900),
