Write no request to a backend in slow start after the end of its send slot

Cause: nothing looked at the slot again as a request was written. The check at the write (`Attempt.send_veto`) knew drains, deadlines and clients only.

Change: the module names the end of the slot with the attempt (`send_by_us`), the check at the write refuses from then on, and the attempt ends as `slot ended`: never executed, no fault of the backend, retried elsewhere. So slots count the hold-up of 0.15 s between check and write alone. The simulator's host can't look again; it counts the connect timeout as before (`keeps_send_by`).

--- a/balancer/actions.py
+++ b/balancer/actions.py
@@ -50,7 +50,11 @@
 
 @dataclass(slots=True, frozen=True)
 class StartAttempt:
-    """Send the request to a backend: its next attempt, given up after `timeout_us`."""
+    """Send the request to a backend: its next attempt, given up after `timeout_us`.
+
+    `send_by_us`: the clock time from which the request may not be written any more, as its send slot has
+    ended; None where it needs no slot.
+    """
 
     request_id: int
     backend: str
@@ -58,6 +62,7 @@
     slow_start: SlowStartAllowance | None = field(
         default=None, compare=False, repr=False
     )  # for the log, where it is in slow start
+    send_by_us: int | None = field(default=None, repr=False)
 
 
 @dataclass(slots=True, frozen=True)
--- a/balancer/events.py
+++ b/balancer/events.py
@@ -31,10 +31,16 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "moot"
+    SLOT_ENDED = "slot ended"  # its connection came up after the end of its send slot; nothing was sent
 
 
 #: Results that prove that the attempt never ran.
-NEVER_EXECUTED = (AttemptResult.OVERLOADED, AttemptResult.CONNECT_FAILED, AttemptResult.NOT_SENT)
+NEVER_EXECUTED = (
+    AttemptResult.OVERLOADED,
+    AttemptResult.CONNECT_FAILED,
+    AttemptResult.NOT_SENT,
+    AttemptResult.SLOT_ENDED,
+)
 #: Results by which a backend gave no sign of life, or stopped giving any.
 UNRESPONSIVE = (AttemptResult.CONNECT_FAILED, AttemptResult.TIMEOUT, AttemptResult.RESET)
 
--- a/balancer/placement.py
+++ b/balancer/placement.py
@@ -143,8 +143,8 @@
         longest_us = int(pending.request_class.latency_objective_us * ATTEMPT_TIMEOUT_OBJECTIVES)
         timeout_us = max(1, min(pending.deadline_us - now_us, longest_us))
         allowance = self.slow_start.allowance(backend)
-        self.context.emit(StartAttempt(request.request_id, name, timeout_us, allowance))
-        self.slow_start.use_slots(backend, cost)
+        send_by_us = self.slow_start.use_slots(backend, cost)
+        self.context.emit(StartAttempt(request.request_id, name, timeout_us, allowance, send_by_us))
         backend.in_flight.add(request.request_id)
         pending.possibly_executed.append((backend.entry, now_us))
 
--- a/balancer/simulator_host.py
+++ b/balancer/simulator_host.py
@@ -4,6 +4,7 @@
 
 import json
 import sys
+from dataclasses import replace
 from typing import IO
 
 from . import simulator_wire
@@ -21,7 +22,7 @@
         if not isinstance(seed, int):
             raise simulator_wire.WireError("Up: field 'initSeed' is missing")
         settings, self.names = simulator_wire.settings(info)
-        self.balancer = Balancer(settings, seed)
+        self.balancer = Balancer(replace(settings, keeps_send_by=False), seed)
 
 
 def serve(source: IO[bytes], sink: IO[bytes]) -> None:
--- a/balancer/slow_start.py
+++ b/balancer/slow_start.py
@@ -51,7 +51,8 @@
     def apply_settings(self) -> None:
         """Settings have changed. What was sent under others counts as all that it might be."""
         s = self._context.settings
-        late_us = s.connect_timeout_us + MAX_HOLD_UP_US
+        # Where the host does not look again as it writes, a connection may come up after its slot has ended.
+        late_us = MAX_HOLD_UP_US + (0 if s.keeps_send_by else s.connect_timeout_us)
         schedule = SlotSchedule(s.position, s.fleet_size, s.overload_window_us, late_us, s.processes)
         self._slot_table = SendSlotTable(schedule, self._context.random, self._context.now_us)
 
@@ -96,13 +97,18 @@
         ahead = [s for s in self.unused_slots() if not s.reserved and now_us < s.start_us < before_us]
         return min(ahead, key=lambda slot: slot.start_us, default=None)
 
-    def use_slots(self, backend: Backend, cost: float) -> None:
-        """A request of this cost goes to a backend. If that is warming up, it takes a slot or several."""
-        left = math.ceil(cost)
-        for slot in self._slots_at(backend) if self.capacity(backend) < 1 else []:
-            if left > 0 and not slot.used and slot.end_us > self._context.now_us:
-                slot.used = True
-                left -= 1
+    def use_slots(self, backend: Backend, cost: float) -> int | None:
+        """A request of this cost goes to a backend. If that is warming up, it takes a slot or several.
+
+        Returns the time by which it must have been sent; None where the backend is warm.
+        """
+        if self.capacity(backend) >= 1:
+            return None
+        now_us = self._context.now_us
+        unused = [slot for slot in self._slots_at(backend) if not slot.used and slot.end_us > now_us]
+        for slot in unused[: math.ceil(cost)]:
+            slot.used = True
+        return unused[0].end_us if unused else now_us
 
     def unused_slots(self) -> list[SendSlot]:
         """This node's unused slots, open or next, at all ready backends in slow start."""
--- a/gradefront/core/attempt_error.py
+++ b/gradefront/core/attempt_error.py
@@ -28,6 +28,7 @@
     SERVED = "served"  # the backend ended it in order
     SENT_AWAY = "sent away"  # the backend told the client to reconnect
     CALLED_OFF = "called off"  # this relay or the client ended it
+    SLOT_ENDED = "slot ended"  # its send slot ended before the complete request had left
     NOT_TRIED = "not tried"  # this relay stopped it before the complete request had left
 
 
@@ -62,5 +63,6 @@
     Cause.SERVED: AttemptResult.OK,
     Cause.SENT_AWAY: AttemptResult.CANCELLED,
     Cause.CALLED_OFF: AttemptResult.CANCELLED,
+    Cause.SLOT_ENDED: AttemptResult.SLOT_ENDED,
     Cause.NOT_TRIED: AttemptResult.NOT_SENT,
 }
--- a/gradefront/core/attempts.py
+++ b/gradefront/core/attempts.py
@@ -7,7 +7,7 @@
 from functools import partial
 from typing import Protocol
 
-from balancer.actions import SlowStartAllowance, StartAttempt
+from balancer.actions import StartAttempt
 from balancer.events import (
     NEVER_EXECUTED,
     AttemptEnded,
@@ -72,21 +72,21 @@
             )
             return
         until_us = min(connection.deadline_us, core.clock() + action.timeout_us)
-        self._begin(connection, action.backend, until_us, action.slow_start)
+        self._begin(connection, action.backend, until_us, action)
 
     def start_adopted(self, connection: Connection) -> None:
         """Start an attempt of an adopted connection, at its own backend."""
         until_us = min(connection.deadline_us, self.core.clock() + ADOPTED_ATTEMPT_US)
         self._begin(connection, connection.adopted_backend, until_us)
 
-    def _begin(
-        self, connection: Connection, backend: str, until_us: int, allowance: SlowStartAllowance | None = None
-    ) -> None:
-        """Begin an attempt; with an `allowance` the backend is in slow start."""
+    def _begin(self, connection: Connection, backend: str, until_us: int, action: StartAttempt | None = None) -> None:
+        """Begin an attempt, at the module's order or for an adopted connection."""
         core = self.core
         connection.transition(ConnectionState.CONNECTING)
-        attempt = connection.attempt = Attempt(core, connection, backend, until_us, allowance is not None)
-        core.request_log.on_send(attempt, allowance)
+        attempt = connection.attempt = Attempt(core, connection, backend, until_us)
+        if action and action.slow_start:
+            attempt.slow_start, attempt.send_by_us = True, action.send_by_us
+            core.request_log.on_send(attempt, action.slow_start)
         connection.attempts += 1
         core.counters.add("attempts")
         connect_by_us = until_us
--- a/gradefront/core/connection.py
+++ b/gradefront/core/connection.py
@@ -191,11 +191,10 @@
         "load",
         "write_started_us",
         "slow_start",
+        "send_by_us",
     )
 
-    def __init__(
-        self, core: Owner, connection: Connection, backend: str, until_us: int, slow_start: bool = False
-    ) -> None:
+    def __init__(self, core: Owner, connection: Connection, backend: str, until_us: int) -> None:
         self.core = core
         self.connection = connection
         self.number = connection.attempts
@@ -203,7 +202,8 @@
         self.phase = AttemptPhase.CONNECTING
         self.started_us = self.last_received_us = core.clock()
         self.expires_us = until_us
-        self.slow_start = slow_start  # the backend is in slow start
+        self.slow_start = False  # the backend is in slow start
+        self.send_by_us: int | None = None  # the end of its send slot there
         self.write_started_us = 0  # when its first line began to be written
         self.timer: Timer | None = None
         self.upstream: BackendConnection | None = None
@@ -223,11 +223,18 @@
                 core.endpoint_watcher.read_pending()
             if not core.is_ready(self.backend):
                 return Cause.BROKEN
+        if self._is_slot_over():
+            return Cause.SLOT_ENDED
         # Last, as the check nearest to the write: the end of the client's side may lie unread yet.
         if connection.client.has_disconnected() and not self.is_over:
             core.on_client_closed(connection, ConnectionEnd.ORDERLY)
         return Cause.NOT_TRIED if self.is_over else None
 
+    def _is_slot_over(self) -> bool:
+        """Guards against a late connect that delivers a request in a window whose sends are other slots'."""
+        has_left = self.phase >= AttemptPhase.SENT
+        return self.send_by_us is not None and not has_left and self.core.clock() >= self.send_by_us
+
     def remaining_us(self) -> int:
         """How long this relay will still wait for the backend's answer."""
         return max(0, self.expires_us - self.core.clock())
--- a/gradefront/core/request_log.py
+++ b/gradefront/core/request_log.py
@@ -77,10 +77,8 @@
             self.unlogged.pop(reason, 0),
         )
 
-    def on_send(self, attempt: Attempt, allowance: SlowStartAllowance | None) -> None:
-        """An attempt begins; with an `allowance` its backend is in slow start."""
-        if allowance is None:
-            return
+    def on_send(self, attempt: Attempt, allowance: SlowStartAllowance) -> None:
+        """An attempt begins at a backend in slow start."""
         self.core.counters.add("slow_start_sends")
         log.info(
             "request %s goes to %s in slow start: %s",
--- a/tests/slow_start_traffic.py
+++ b/tests/slow_start_traffic.py
@@ -35,7 +35,8 @@
 from .test_failures import PROBED
 
 START_S = 100.0  # of virtual time: backends that started long ago did so before
-LATEST_CONNECT_S = 0.28  # of the connect timeout and the hold-up that send slots count
+CONNECT_TIMEOUT_S = 0.15
+MAX_HOLD_UP_S = 0.15  # of a relay, between its last check and its write
 QUIET_S = 1.5  # in which the first clients come
 LENGTH_S = 10.0
 CLASS = RequestClass(latency_objective_us=OBJECTIVE_MS * 1000, deadline_us=DEADLINE_MS * 1000)
@@ -144,7 +145,7 @@
                 "warm_up_us": int(rules.warm_s * 1e6),
                 "overload_multiple": rules.multiple,
                 "overload_window_us": int(rules.window_s * 1e6),
-                "connect_timeout_us": 150_000,
+                "connect_timeout_us": int(CONNECT_TIMEOUT_S * 1e6),
                 "retry_after": True,
                 "max_retry_after_us": 2_000_000,
                 "weight_kind": WeightKind.ROUGH,
@@ -173,8 +174,8 @@
                 self.after(0.001, partial(self.check_health, relay, position, action.backend))
             elif isinstance(action, StartAttempt):
                 backend = self.backends[action.backend]
-                arrive = partial(self.arrive, relay, position, action, backend)
-                self.after(self.random.uniform(0, LATEST_CONNECT_S), arrive)
+                write = partial(self.write, relay, position, action, backend)
+                self.after(self.random.uniform(0, CONNECT_TIMEOUT_S), write)
             elif isinstance(action, Reject | Fail):
                 self.after(self.random.uniform(0.1, 1.0), partial(self.come, True))
 
@@ -204,6 +205,15 @@
         position = self.random.choice(sorted(self.relays))
         self.notify(position, Request(next(self.numbers), DEADLINE_MS * 1000, is_reconnect=is_reconnect))
 
+    def write(self, relay: Balancer, position: int, attempt: StartAttempt, backend: ModelBackend) -> None:
+        """The connection for an attempt is open: its relay checks the send slot, and writes."""
+        if attempt.send_by_us is not None and self.now_s * 1e6 >= attempt.send_by_us:
+            ended = AttemptEnded(attempt.request_id, 0, attempt.backend, AttemptResult.SLOT_ENDED)
+            self.notify(position, ended)
+            return
+        arrive = partial(self.arrive, relay, position, attempt, backend)
+        self.after(self.random.uniform(0, MAX_HOLD_UP_S), arrive)
+
     def arrive(self, relay: Balancer, position: int, attempt: StartAttempt, backend: ModelBackend) -> None:
         """A request arrives at its backend's process, unless its relay has gone."""
         name, request = attempt.backend, attempt.request_id
