Keep a QUIC path in its shared place where a datagram tells no client id

Callers saw: a client whose path shared an upstream port (only once the bound on ports is reached) got none of its backend's answers any more, until it came again; and the path could not be taken out, so that its place was never given back.

Cause: `Place.find` took the unsettled path out and entered it under the id of the datagram, if that had one. Where it had none (a long header whose id is empty, a short header while no id is known) the path was in no place. The id itself could be wrong: of a short header it was as many octets as the last known id of a set has, a long header cut off within its id gave a piece.

Change: the unsettled path leaves its spot only for a whole id, read from a long header; a short header, which doesn't tell how long its id is, brings its answer there and nothing else, and `Path.learn` settles the path after two answers as before. Of known ids that a short header may begin with, the longest counts.

--- a/gradefront/quic/paths.py
+++ b/gradefront/quic/paths.py
@@ -110,6 +110,14 @@
             self.port.errors()
 
 
+def _id_of_long_header(datagram: bytes) -> bytes:
+    """The destination id in a long header; empty where the client has none or the datagram ends within it."""
+    if len(datagram) <= LONG_HEADER:
+        return b""
+    end = LONG_HEADER + datagram[LONG_HEADER - 1]
+    return datagram[LONG_HEADER:end] if end <= len(datagram) else b""
+
+
 class Place:
     """One backend at one port, and whose answers come there."""
 
@@ -164,27 +172,30 @@
         """Whose answer it is. One of an id that nobody knows is the unsettled path's, unless others have spoken
         whose id wasn't heard yet; then it goes to all who may be meant: a client drops what isn't its own."""
         assert self.by_id is not None
-        if datagram[0] & LONG and len(datagram) > LONG_HEADER:
-            an_id = datagram[LONG_HEADER : LONG_HEADER + datagram[5]]
-            path = self.by_id.get(an_id)
-        else:
-            path, an_id = None, b""
-            for length in {len(known) for known in self.by_id}:
-                an_id = datagram[1 : 1 + length]
-                path = self.by_id.get(an_id)
-                if path:
-                    break
+        is_long = bool(datagram[0] & LONG)
+        client_id = _id_of_long_header(datagram) if is_long else self._known_id(datagram)
+        path = self.by_id.get(client_id)
         if path:
             self.unsure.pop(path, None)
             return [path]
         # Paths that weren't heard of, but haven't spoken since either, are idle: nobody answers them.
         if self.unsettled and all(other.sent == before for other, before in self.unsure.items()):
-            path, self.unsettled = self.unsettled, None
-            if an_id:
-                self.by_id[an_id] = path
+            path = self.unsettled
+            if client_id:
+                # Guards against a path in no place: it stays the unsettled one until its id has been read.
+                self.unsettled = None
+                self.by_id[client_id] = path
             return [path]
         return self.paths()
 
+    def _known_id(self, datagram: bytes) -> bytes:
+        """The longest known id that a short header may begin with; empty where none does. How long an id is that
+        isn't known, a short header doesn't tell."""
+        assert self.by_id is not None
+        lengths = sorted({len(known) for known in self.by_id}, reverse=True)
+        ids = (datagram[1 : 1 + length] for length in lengths)
+        return next((known for known in ids if known in self.by_id), b"")
+
     def drop(self, path: Path) -> bool:
         """A path is gone; whether the place is empty now."""
         if self.by_id is None:
--- /dev/null
+++ b/tests/test_quic_places.py
@@ -0,0 +1,146 @@
+"""Places shared by paths at an upstream port, against drawn steps: no path is ever in no place.
+
+All ids and datagrams are drawn, so that hypothesis can shrink and replay what it finds.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from gradefront.quic.headers import FIXED, LONG
+from gradefront.quic.paths import Path, Place
+
+VERSION = b"\x00\x00\x00\x01"
+IDS = st.sampled_from([b"", b"\x01" * 4, b"\x01" * 6, b"\x02" * 4, b"\x02" * 8, b"\x03" * 20])
+PIECES = st.binary(max_size=12)
+
+
+def path() -> Path:
+    no_matter: Any = None
+    return Path(("127.0.0.1", 1), "backend-1", ("127.0.0.1", 2), no_matter, no_matter, 0)
+
+
+def long_header(client_id: bytes, rest: bytes = b"\x00rest") -> bytes:
+    return bytes([LONG | FIXED]) + VERSION + bytes([len(client_id)]) + client_id + rest
+
+
+def short_header(client_id: bytes, rest: bytes = b"rest") -> bytes:
+    return bytes([FIXED]) + client_id + rest
+
+
+class SharedPlace(RuleBasedStateMachine):
+    """Paths with known and unknown ids come, speak, are answered, become known and go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.entered: list[Path] = []
+        self.place = Place(path())
+
+    @precondition(lambda self: not self.entered)
+    @rule(first_id=IDS, second_id=IDS)
+    def two_paths_share(self, first_id: bytes, second_id: bytes) -> None:
+        self.entered = [path()]
+        self.place = Place(self.entered[0])
+        self.come_with(second_id, first_id)
+
+    def come_with(self, client_id: bytes, present_id: bytes) -> None:
+        if self.place.takes(client_id, present_id):
+            self.entered.append(path())
+            self.place.share(self.entered[-1], client_id, present_id)
+
+    def is_shared(self) -> bool:
+        return bool(self.entered) and self.place.by_id is not None
+
+    @precondition(is_shared)
+    @rule(client_id=IDS)
+    def come(self, client_id: bytes) -> None:
+        self.come_with(client_id, b"")
+
+    @precondition(lambda self: self.entered)
+    @rule(which=st.integers(0, 9))
+    def speak(self, which: int) -> None:
+        self.entered[which % len(self.entered)].sent += 1
+
+    @precondition(is_shared)
+    @rule(client_id=IDS, rest=PIECES, is_long=st.booleans(), kept=st.integers(1, 40))
+    def answer(self, client_id: bytes, rest: bytes, is_long: bool, kept: int) -> None:
+        datagram = (long_header if is_long else short_header)(client_id, rest)[:kept]
+        self.check_receivers(datagram)
+
+    @precondition(is_shared)
+    @rule(datagram=st.binary(min_size=1, max_size=30))
+    def noise(self, datagram: bytes) -> None:
+        self.check_receivers(datagram)
+
+    def check_receivers(self, datagram: bytes) -> None:
+        receivers = self.place.find(datagram)
+        assert set(receivers) <= set(self.entered), "a path that has gone"
+        assert receivers or not self.entered, "an answer that reaches nobody"
+
+    @precondition(lambda self: self.entered)
+    @rule(which=st.integers(0, 9), client_id=IDS)
+    def become_known(self, which: int, client_id: bytes) -> None:
+        self.place.settle(self.entered[which % len(self.entered)], client_id)
+
+    @precondition(lambda self: self.entered)
+    @rule(which=st.integers(0, 9))
+    def go(self, which: int) -> None:
+        left = self.entered.pop(which % len(self.entered))
+        assert self.place.drop(left) == (not self.entered)
+
+    @invariant()
+    def each_path_is_in_the_place(self) -> None:
+        if self.entered:
+            assert sorted(map(id, self.place.paths())) == sorted(map(id, self.entered))
+
+
+TestSharedPlace = SharedPlace.TestCase
+TestSharedPlace.settings = settings(max_examples=300, stateful_step_count=30, derandomize=True, deadline=None)
+
+
+def shared_by(settled_id: bytes) -> tuple[Place, Path, Path]:
+    """A place with one path of a known id that was heard, and one of an unknown id."""
+    settled, unsettled = path(), path()
+    place = Place(settled)
+    place.share(unsettled, b"", settled_id)
+    assert place.find(long_header(settled_id)) == [settled]
+    return place, settled, unsettled
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [
+        short_header(b"\x09" * 8),  # how long its id is, nobody knows
+        long_header(b""),
+        long_header(b"\x09" * 8)[:9],  # cut off within the id
+        long_header(b"\x01" * 8)[:10],  # ... where it looks like a shorter id that is known
+        long_header(b"\x09" * 8)[:6],
+        bytes([LONG]),
+    ],
+)
+def test_a_datagram_that_tells_no_id_leaves_the_unsettled_path_where_it_is(datagram: bytes) -> None:
+    """Guards against answers that reach nobody, or the wrong client, after one such datagram."""
+    place, settled, unsettled = shared_by(b"\x01" * 4)
+    assert place.find(datagram) == [unsettled]
+    assert place.unsettled is unsettled and place.by_id == {b"\x01" * 4: settled}
+    assert place.find(short_header(b"\x08" * 8)) == [unsettled], "its other answers reach it still"
+
+
+def test_a_whole_id_in_a_long_header_settles_the_unsettled_path() -> None:
+    place, _, unsettled = shared_by(b"\x01" * 4)
+    assert place.find(long_header(b"\x09" * 8)) == [unsettled]
+    assert place.unsettled is None and place.find(short_header(b"\x09" * 8)) == [unsettled]
+
+
+def test_the_longest_known_id_that_fits_tells_whose_a_short_header_is() -> None:
+    """Guards against the order of a set: one client's id may be the beginning of another's."""
+    shorter, longer = path(), path()
+    place = Place(shorter)
+    place.share(longer, b"\x01" * 6, b"\x01" * 4)
+    assert place.find(short_header(b"\x01" * 6)) == [longer]
+    assert place.find(short_header(b"\x01" * 4 + b"\x02" * 4)) == [shorter]
