Soak relays to the earliest kill, with signals in series and clients that go on

Change: seeds from 1001 on draw, after all that was drawn before, reports up to 2 s old, deadlines of 1.2, 2.5 and 4.8 s, clients that rest on a connection for up to 2 s before their request, the kill at its earliest, and series of signals: several relays are ended at once, each after a reload or not, and get SIGTERM, SIGHUP and SIGUSR1 while they end. Served clients send on their connections until these end, as before. Seeds below 1001 mean what they meant.

--- a/lab/soak.py
+++ b/lab/soak.py
@@ -12,11 +12,11 @@
 import sys
 import tempfile
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from random import Random
 
-from .crowd import Fleet, Scene
+from .crowd import DEADLINE_MS, Fleet, LaterSignal, Scene
 from .fault_proxy import Faults
 from .slow_start_oracle import SlowStartRules
 
@@ -24,7 +24,11 @@
 SIGNALS = (signal.SIGTERM, signal.SIGKILL, signal.SIGHUP)
 HANG_TIMEOUT_S = 90.0  # of a run
 PARALLEL = 2  # more runs at a time would be late on a machine with other work
+FIRST_HARSH_SEED = (
+    1_001  # from here on clients use their connections until the earliest kill, and signals come in series
+)
 SIGNALS_PROBABILITY = 0.7
+RELOAD_FIRST_PROBABILITY = 0.4  # that a relay is told to reload right before its end
 CROWD_PROBABILITY = 0.6
 
 
@@ -50,7 +54,7 @@
     """The scene of a seed. The order of the draws is part of it."""
     random = Random(seed)
     warm_s = random.uniform(15, 60)
-    return Scene(
+    scene = Scene(
         relays=random.choice((2, 3, 4, 6, 8)),
         warm=random.randint(4, 7),
         warming=random.randint(1, 3),
@@ -66,6 +70,19 @@
             late=random.uniform(0, 0.3), reset_under=random.uniform(0, 0.1), dribble=random.uniform(0, 0.3)
         ),
     )
+    return scene if seed < FIRST_HARSH_SEED else _harsh(scene, random)
+
+
+def _harsh(scene: Scene, random: Random) -> Scene:
+    """The scene with the platform's earliest kill, short deadlines, resting connections and signals in series."""
+    return replace(
+        scene,
+        lag_s=random.choice((0.0, 0.5, 1.2, 2.0)),
+        deadline_ms=random.choice((1_200, 2_500, DEADLINE_MS)),
+        kill_slack_s=0.0,
+        resting_share=random.choice((0.0, 0.2, 0.5)),
+        signal_series=True,
+    )
 
 
 async def _send_signals(fleet: Fleet, random: Random) -> None:
@@ -79,6 +96,27 @@
             await fleet.restart_relay(name, number)
 
 
+async def _send_signals_in_series(fleet: Fleet, random: Random) -> None:
+    """Ends some relays at once, again and again. Each gets further signals while it ends."""
+    while True:
+        await asyncio.sleep(random.uniform(0.1, 0.8))
+        names = random.sample(sorted(fleet.relays), random.randint(1, max(1, len(fleet.relays) // 2)))
+        await asyncio.gather(*(_end_by_series(fleet, name, random) for name in names))
+
+
+async def _end_by_series(fleet: Fleet, name: str, random: Random) -> None:
+    await asyncio.sleep(random.uniform(0, 0.3))
+    if random.random() < RELOAD_FIRST_PROBABILITY:
+        fleet.relays[name].process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(random.uniform(0, 0.1))
+    number = random.choice((signal.SIGTERM, signal.SIGTERM, signal.SIGKILL))
+    more = [
+        LaterSignal(random.choice((signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1)), random.uniform(0, 3.0))
+        for _ in range(random.randint(0, 3))
+    ]
+    await fleet.restart_relay(name, number, more)
+
+
 async def _restart_backends(fleet: Fleet, random: Random) -> None:
     """Ends some backends at once, and starts them again under their names."""
     scene = fleet.scene
@@ -100,7 +138,8 @@
         await fleet.wait_until_served(10)
         faults = [asyncio.ensure_future(_restart_backends(fleet, random))]
         if random.random() < SIGNALS_PROBABILITY:
-            faults.append(asyncio.ensure_future(_send_signals(fleet, random)))
+            send = _send_signals_in_series if scene.signal_series else _send_signals
+            faults.append(asyncio.ensure_future(send(fleet, random)))
         if random.random() < CROWD_PROBABILITY:
             fleet.start_clients(random.randint(60, 160), within_s=0.8)
         try:
