Give places of QUIC paths a module of their own

Need: quic/paths.py had grown to 400 lines and held three jobs: paths, the places that they share, and ports. Change: Place and what reads an id for it are quic/places.py; nothing else changes.

--- a/tests/test_quic_places.py
+++ b/tests/test_quic_places.py
@@ -13,7 +13,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from gradefront.quic.headers import FIXED, LONG
-from gradefront.quic.paths import Path, Place
+from gradefront.quic.paths import Path
+from gradefront.quic.places import Place
 
 VERSION = b"\x00\x00\x00\x01"
 IDS = st.sampled_from([b"", b"\x01" * 4, b"\x01" * 6, b"\x02" * 4, b"\x02" * 8, b"\x03" * 20])
