--- a/lab/crowd.py
+++ b/lab/crowd.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import time
 from collections import Counter
@@ -90,6 +91,7 @@
         self.ports: dict[str, int] = {}
         self.proxies: dict[str, FaultProxy] = {}
         self.killed_relays: set[int] = set()  # ports of processes that were killed outright
+        self.signalled_s: dict[int, float] = {}  # by port: when its process was told to end
         self.violations: list[str] = []  # promises to clients that relays broke
 
     async def __aenter__(self) -> Fleet:
@@ -120,11 +122,14 @@
         full_connections = scene.full_connections * self.random.uniform(1 - scene.spread, 1 + scene.spread)
         warm_up = WarmUp(name, scene.rules, started_s, full_connections)
         reply = f"UP {name}\r\nLOAD {scene.work}"
-        backend = self.backends[name] = WarmingBackend(warm_up, time.time, self._sender, reply)
+        backend = WarmingBackend(warm_up, time.time, self._sender, reply)
         backend.short_share, backend.lag_s = scene.short_share, scene.lag_s
+        proxy = FaultProxy(await backend.open(), scene.faults, self.random.getrandbits(30))
+        port = await proxy.open()
+        # Only now: a run that ends meanwhile closes what is listed here.
+        self.backends[name], self.proxies[name] = backend, proxy
         self.warm_ups.append(warm_up)
-        proxy = self.proxies[name] = FaultProxy(await backend.open(), scene.faults, self.random.getrandbits(30))
-        self.discovery.add(name, await proxy.open())
+        self.discovery.add(name, port)
         self.discovery.members[name]["up_since_ms"] = int(started_s * 1000)
         self.discovery.publish(name, "SERVING")
 
@@ -171,6 +176,7 @@
         relay = self.relays.pop(name)
         if number is signal.SIGKILL:
             self.killed_relays.add(self.ports.pop(name))
+        self.signalled_s[relay.ports[0]] = time.monotonic()
         relay.process.send_signal(number)
         later = [asyncio.ensure_future(_signal_later(relay, signal_later)) for signal_later in more]
         try:
@@ -178,8 +184,9 @@
             if number is signal.SIGTERM and status:
                 self.violations.append(f"{name} ended with status {status}")
         except TimeoutError:
-            self.violations.append(f"{name} was there still {kill_after_s} s after SIGTERM")
-            relay.process.kill()
+            with suppress(ProcessLookupError):  # it has ended, and only this harness has not heard of it yet
+                relay.process.kill()
+                self.violations.append(f"{name} was there still {kill_after_s} s after SIGTERM")
             await relay.process.wait()
         finally:
             for task in later:
@@ -225,7 +232,12 @@
             # A request that crosses the end of a resting connection is not read.
             unread = rests and not answer and f"{device.id:016x}" not in self.arrived
             if (late or not answer) and not unread and port not in self.killed_relays:
-                self.violations.append(f"{relay}: request {device.id:016x} got {answer!r}, late: {late}")
+                arrived = f"{device.id:016x}" in self.arrived
+                signalled_s = time.monotonic() - self.signalled_s.get(port, math.inf)
+                self.violations.append(
+                    f"{relay}: request {device.id:016x} got {answer!r}, late: {late}, rested: {rests},"
+                    f" arrived: {arrived}, {signalled_s:.3f} s after its relay was told to end"
+                )
             if answer.startswith("UP"):
                 await self._stay(device, answer[3:], port)
             elif answer.startswith("BUSY "):
