Ignore signals once a planned stop is done, up to the process's end

Platforms saw: a relay that got a SIGHUP, SIGUSR1 or second SIGTERM in the last milliseconds of its planned stop ended with that signal's status, like a crash.

Cause: CPython sets its handlers back to the default as it ends, and the default kills. The handlers were ours up to there.

Why this works: a signal that is ignored stays ignored through that. So after the reactor has stopped all four are.

The soak and the test send by os.kill: asyncio's own send_signal polls the child, may reap it, and makes its status 255.

--- a/gradefront/service.py
+++ b/gradefront/service.py
@@ -100,11 +100,25 @@
         self._shutdown.begin()
 
 
+HANDLED_SIGNALS: dict[signal.Signals, Callable[[Relay], None]] = {
+    signal.SIGTERM: Relay.leave,
+    signal.SIGINT: Relay.leave,
+    signal.SIGUSR1: Relay.log_counters,
+    signal.SIGHUP: Relay.reload,
+}
+
+
 def _on_signal(number: signal.Signals, do: Callable[[], None], reactor: Reactor) -> None:
     """Have the reactor do it, once it runs."""
     signal.signal(number, lambda *_: reactor.callFromThread(do))
 
 
+def _ignore_signals() -> None:
+    """Guards a planned stop's status: the interpreter drops its handlers as it ends, and a signal would kill it."""
+    for number in HANDLED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def _log_settings(config: Config) -> None:
     settings = config.settings
     log.info("settings: %s; message latency reported: %s", settings, config.reports_message_latency)
@@ -146,12 +160,7 @@
     cast(Any, installReactor)(reactor)
     relay: Relay
     # Before the file is read: a signal that arrives meanwhile waits for the reactor instead of ending the process.
-    for number, do in (
-        (signal.SIGTERM, Relay.leave),
-        (signal.SIGINT, Relay.leave),
-        (signal.SIGUSR1, Relay.log_counters),
-        (signal.SIGHUP, Relay.reload),
-    ):
+    for number, do in HANDLED_SIGNALS.items():
         _on_signal(number, lambda do=do: do(relay), reactor)  # type: ignore[misc]
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s"
@@ -164,5 +173,6 @@
     gc.collect()
     gc.freeze()  # start-up objects stay; collecting them again and again would cost scarce CPU
     reactor.run(installSignalHandlers=False)
+    _ignore_signals()
     relay.log_counters()
     return EXIT_OK
--- a/lab/crowd.py
+++ b/lab/crowd.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import os
 import signal
 import time
 from collections import Counter
@@ -66,7 +67,7 @@
 async def _signal_later(relay: Program, later: LaterSignal) -> None:
     await asyncio.sleep(later.after_s)
     with suppress(ProcessLookupError):
-        relay.process.send_signal(later.number)
+        os.kill(relay.process.pid, later.number)  # the process's own call may reap it unseen by the loop
 
 
 class Fleet:
--- /dev/null
+++ b/tests/test_signals_at_the_end.py
@@ -0,0 +1,34 @@
+"""Signals in series while a relay's process ends."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from lab.stand_ins import HANG_TIMEOUT_S, Discovery, program, settings
+
+SERIES_INTERVAL_S = 0.0005
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1, signal.SIGTERM])
+def test_signals_up_to_the_very_end_leave_a_planned_stop_its_status(tmp_path: Path, number: signal.Signals) -> None:
+    """Guards against a planned restart that looks like a crash: the interpreter drops its handlers as it ends."""
+
+    async def play() -> None:
+        async with program(tmp_path, Discovery(), settings(deadline_ms=300)) as relay:
+            relay.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(HANG_TIMEOUT_S):
+                reading = asyncio.ensure_future(relay.process.communicate())  # a full pipe would hold it
+                while relay.process.returncode is None:
+                    with suppress(ProcessLookupError):
+                        os.kill(relay.process.pid, number)  # the process's own call may reap it unseen by the loop
+                    await asyncio.sleep(SERIES_INTERVAL_S)
+                await reading
+            assert relay.process.returncode == 0
+
+    asyncio.run(play())
