Leave a relay's share unknown while no report can show what it made

The step: a load report is set beside the lowest count of connections of 2 s.

Cause: that count is 0 for the first 2 s of a process, whatever it holds. So each relay that had just started took itself for one with no part in the traffic, for those 2 s and the 5 s that its sums remember, and sent next to nothing to backends in slow start.

Change: reports count from 2 s after the first list on. Until then the share is the guess.

The new test failed before.

--- a/balancer/context.py
+++ b/balancer/context.py
@@ -18,7 +18,15 @@
     `now_us`, the clock time of the event being handled; `actions`, what is to be done about that event.
     """
 
-    __slots__ = ("_logged_at_us", "_new_until_us", "actions", "now_us", "random", "settings")
+    __slots__ = (
+        "_first_list_us",
+        "_logged_at_us",
+        "_new_until_us",
+        "actions",
+        "now_us",
+        "random",
+        "settings",
+    )
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
@@ -26,6 +34,7 @@
         self.now_us = 0
         self.actions: list[Action] = []
         self._logged_at_us: dict[str, int] = {}
+        self._first_list_us: int | None = None
         self._new_until_us = 0
 
     def begin(self, now_us: int) -> None:
@@ -44,12 +53,18 @@
 
     def on_endpoint_list(self) -> None:
         """A list has come. The first one starts the time as a new node, unless it has adopted connections."""
+        if self._first_list_us is None:
+            self._first_list_us = self.now_us
         self._new_until_us = self._new_until_us or self.now_us + NEW_NODE_US
 
     def on_adopted(self) -> None:
         """A connection has been adopted: a node with a past knows what is established, and is not new."""
         self._new_until_us = 1  # in the past, and not 0: `on_endpoint_list` leaves it
 
+    def has_run_for(self, span_us: int) -> bool:
+        """Whether the first list came at least so long ago."""
+        return self._first_list_us is not None and self.now_us - self._first_list_us >= span_us
+
     def is_new_node(self) -> bool:
         """Whether this node has seen too few connections to judge by."""
         return self.now_us < self._new_until_us
--- a/balancer/load_estimate.py
+++ b/balancer/load_estimate.py
@@ -7,7 +7,7 @@
 from .capacity import CapacityShare, available_capacity
 from .connections import ConnectionTable
 from .context import Context
-from .endpoints import Backend, EndpointTable
+from .endpoints import REPORT_DELAY_US, Backend, EndpointTable
 from .events import LoadReport
 from .settings import LoadReportSource, WeightKind
 
@@ -51,7 +51,9 @@
         # Guards against connections of now beside the load of before them: as a crowd comes, their quotient
         # has no bound, and what backends in slow start are sent follows it.
         held = backend.reported_connections.get(now_us)
-        self.capacity_share.on_report(now_us, entry.kind, held, bounded)
+        # What a node has made in its first moments is in no report for certain: its share is unknown, not 0.
+        if self._context.has_run_for(REPORT_DELAY_US):
+            self.capacity_share.on_report(now_us, entry.kind, held, bounded)
         if entry.zone == settings.zone:
             self.zone_load += (bounded - self.zone_load) / ZONE_LOAD_REPORTS
 
--- a/tests/test_load_estimate.py
+++ b/tests/test_load_estimate.py
@@ -59,6 +59,14 @@
     assert 70 < full_connections(b, 15 * SECOND_US) <= 80
 
 
+def test_reports_of_a_relays_first_moments_leave_its_share_unknown() -> None:
+    """Guards against a relay that has just started and takes itself for one with no part in the fleet's traffic."""
+    b = Balancer(Settings(**PROBED), 1)
+    b.handle(10 * SECOND_US, EndpointListUpdate((Endpoint("s0"),)))
+    report(b, 11 * SECOND_US, 0.5)
+    assert full_connections(b, 11 * SECOND_US) == GUESS
+
+
 def test_adopted_connections_are_in_the_reports_already() -> None:
     """Guards against a relay that takes over from another and sends next to nothing to backends in slow start."""
     b = Balancer(Settings(**PROBED), 1)
