Name this change's tests and constants by the terms of the field

Change: four tests and one constant of the traffic model are renamed; no assertion, bound or draw differs.

--- a/tests/slow_start_traffic.py
+++ b/tests/slow_start_traffic.py
@@ -37,7 +37,7 @@
 START_S = 100.0  # of virtual time: backends that started long ago did so before
 CONNECT_TIMEOUT_S = 0.15
 MAX_HOLD_UP_S = 0.15  # of a relay, between its last check and its write
-QUIET_S = 1.5  # in which the first clients come
+FIRST_CLIENTS_S = 1.5  # in which the first clients come
 LENGTH_S = 10.0
 CLASS = RequestClass(latency_objective_us=OBJECTIVE_MS * 1000, deadline_us=DEADLINE_MS * 1000)
 
@@ -280,11 +280,11 @@
 
 
 def played(seed: int) -> TrafficModel:
-    """The model of a seed after its run: a quiet beginning, then a crowd while backends and relays restart."""
+    """The model of a seed after its run: a few clients, then a crowd while backends and relays restart."""
     scene = drawn_scene(seed)
     model = TrafficModel(scene, seed)
-    model.crowd(int(scene.warm * scene.full_connections / 4), QUIET_S)
-    model.run(QUIET_S)
+    model.crowd(int(scene.warm * scene.full_connections / 4), FIRST_CLIENTS_S)
+    model.run(FIRST_CLIENTS_S)
     model.after(model.random.uniform(0.5, 2.0), model.restart_backends)
     if model.random.random() < SIGNALS_PROBABILITY:
         model.after(model.random.uniform(0.1, 0.8), model.restart_relays)
--- a/tests/test_load_estimate.py
+++ b/tests/test_load_estimate.py
@@ -43,7 +43,7 @@
     return b
 
 
-def test_reports_from_before_a_crowd_do_not_raise_what_fills_a_backend() -> None:
+def test_reports_from_before_a_crowd_do_not_raise_the_backend_capacity() -> None:
     """Guards against an estimate that runs away while a crowd comes, since reports lag by up to 2 s."""
     b = node_with_connections(10 * SECOND_US, 40)
     for tenth in range(1, 11):
@@ -51,7 +51,7 @@
     assert full_connections(b, 11 * SECOND_US) <= GUESS
 
 
-def test_reports_that_show_the_connections_tell_what_fills_a_backend() -> None:
+def test_reports_that_show_the_connections_give_the_backend_capacity() -> None:
     """Guards against an estimate that stays at its guess: 40 connections are half a backend here."""
     b = node_with_connections(10 * SECOND_US, 40)
     for tenth in range(10):
--- a/tests/test_quic_places.py
+++ b/tests/test_quic_places.py
@@ -124,7 +124,7 @@
         bytes([LONG]),
     ],
 )
-def test_a_datagram_that_tells_no_id_leaves_the_unsettled_path_where_it_is(datagram: bytes) -> None:
+def test_a_datagram_without_a_readable_id_keeps_the_unsettled_path_in_its_place(datagram: bytes) -> None:
     """Guards against answers that reach nobody, or the wrong client, after one such datagram."""
     place, settled, unsettled = shared_by(b"\x01" * 4)
     assert place.find(datagram) == [unsettled]
@@ -138,7 +138,7 @@
     assert place.unsettled is None and place.find(short_header(b"\x09" * 8)) == [unsettled]
 
 
-def test_the_longest_known_id_that_fits_tells_whose_a_short_header_is() -> None:
+def test_the_longest_matching_id_identifies_the_path_of_a_short_header() -> None:
     """Guards against the order of a set: one client's id may be the beginning of another's."""
     shorter, longer = path(), path()
     place = Place(shorter)
