Log when each step of a planned stop ran, and what a listener's end resets

A request without an answer may have been reset in the listener's queue or lost after it was read; a late end may be a late loop, a step that waits, or the interpreter's end.

Change: one log line at the end of a planned stop with each step's time after the signal, and when it was due; the signal handler notes the clock. A listener of the relay's own that closes over connections in its queue says how many (TCP_INFO). The soak keeps the logs of ended relays: it looks for tracebacks there too, which it did not before, and prints the stop's lines where a rule is broken.

--- a/gradefront/net/reactor.py
+++ b/gradefront/net/reactor.py
@@ -86,6 +86,7 @@
         """Listen on a descriptor that listens already."""
         port = cast(Any, ListeningPort)
         listener: ListeningPort = port._fromListeningDescriptor(self, fileDescriptor, addressFamily, factory)
+        listener.is_shared = True
         listener.startListening()
         return listener
 
--- a/gradefront/net/transport.py
+++ b/gradefront/net/transport.py
@@ -17,6 +17,8 @@
 from twisted.internet.main import CONNECTION_DONE, CONNECTION_LOST
 from twisted.python.failure import Failure
 
+from .listen_queue import queued_connections
+
 log = logging.getLogger("gradefront.transport")
 
 MAX_READS = 16  # of 64 KiB at most, in one `catch_up`: a peer may send without end
@@ -138,6 +140,7 @@
     may have `accept_failed`, which is called with the OSError and may free a descriptor."""
 
     transport = ServerConnection
+    is_shared = False  # another process, or another descriptor, holds the same listener
 
     def doRead(self) -> None:
         """Accept what waits, MAX_ACCEPTS at most."""
@@ -157,6 +160,13 @@
                 continue  # an error of that one connection, which accept has taken off the queue
             self._set_up(accepted, address)
 
+    def connectionLost(self, reason: Any) -> None:
+        """Close. The kernel resets the connections that wait in the queue of a listener that nobody else holds."""
+        queued = 0 if self.is_shared else queued_connections(self.socket)
+        if queued:
+            log.warning("a listener ends with %d connections that were not accepted", queued)
+        cast(Any, super()).connectionLost(reason)
+
     def _set_up(self, accepted: socket.socket, address: Any) -> None:
         """Make the connection's transport and protocol. An error in that ends this one connection."""
         port: Any = self
--- a/gradefront/service.py
+++ b/gradefront/service.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, cast
 
@@ -33,6 +34,7 @@
 EXIT_OK = 0
 EXIT_BAD_CONFIG = 2
 US_PER_S = 1e6
+NS_PER_US = 1_000
 
 
 class Relay:
@@ -95,22 +97,34 @@
         """Read the configuration file anew; established connections go on."""
         self._reloader.reload()
 
-    def leave(self) -> None:
-        """Begin a planned restart."""
-        self._shutdown.begin()
+    def leave(self, waited_us: int = 0) -> None:
+        """Begin a planned restart, by a signal that came `waited_us` ago."""
+        self._shutdown.begin(waited_us)
 
+    def log_end(self) -> None:
+        """Log the counters and the steps of the stop: the reactor has ended."""
+        self._shutdown.timeline.record("reactor ended")
+        self._shutdown.timeline.log()
+        self.log_counters()
 
-HANDLED_SIGNALS: dict[signal.Signals, Callable[[Relay], None]] = {
+
+#: What a signal does, given the microseconds that it has waited for the reactor.
+HANDLED_SIGNALS: dict[signal.Signals, Callable[[Relay, int], None]] = {
     signal.SIGTERM: Relay.leave,
     signal.SIGINT: Relay.leave,
-    signal.SIGUSR1: Relay.log_counters,
-    signal.SIGHUP: Relay.reload,
+    signal.SIGUSR1: lambda relay, _: relay.log_counters(),
+    signal.SIGHUP: lambda relay, _: relay.reload(),
 }
 
 
-def _on_signal(number: signal.Signals, do: Callable[[], None], reactor: Reactor) -> None:
-    """Have the reactor do it, once it runs."""
-    signal.signal(number, lambda *_: reactor.callFromThread(do))
+def _on_signal(number: signal.Signals, do: Callable[[int], None], reactor: Reactor) -> None:
+    """Have the reactor do it, once it runs, with the microseconds that the signal has waited."""
+
+    def received(*_: object) -> None:
+        came_ns = time.monotonic_ns()
+        reactor.callFromThread(lambda: do((time.monotonic_ns() - came_ns) // NS_PER_US))
+
+    signal.signal(number, received)
 
 
 def _ignore_signals() -> None:
@@ -161,7 +175,7 @@
     relay: Relay
     # Before the file is read: a signal that arrives meanwhile waits for the reactor instead of ending the process.
     for number, do in HANDLED_SIGNALS.items():
-        _on_signal(number, lambda do=do: do(relay), reactor)  # type: ignore[misc]
+        _on_signal(number, lambda waited_us, do=do: do(relay, waited_us), reactor)  # type: ignore[misc]
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s %(message)s"
     )
@@ -174,5 +188,5 @@
     gc.freeze()  # start-up objects stay; collecting them again and again would cost scarce CPU
     reactor.run(installSignalHandlers=False)
     _ignore_signals()
-    relay.log_counters()
+    relay.log_end()
     return EXIT_OK
--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from .core.lifecycle import STOP_US as LAST_ANSWERS_US
 from .core.lifecycle_state import LifecycleEvent, LifecycleState
 from .listening import ClientListener
 from .net.client_protocol import ClientProtocolFactory
@@ -12,6 +13,7 @@
 from .net.reactor import Reactor
 from .state.handover_sender import HandoverSender
 from .state.handover_sockets import connect_to_newest
+from .stop_timeline import StopTimeline
 
 if TYPE_CHECKING:
     from .net.fleet_port import FleetPort
@@ -43,11 +45,13 @@
         self.endpoint_watch = endpoint_watch
         self.fleet = fleet
         self.reactor = reactor
+        self.timeline = StopTimeline(self.core.clock)
 
-    def begin(self) -> None:
-        """A planned restart. A second signal changes nothing."""
+    def begin(self, waited_us: int = 0) -> None:
+        """A planned restart, by a signal that came `waited_us` ago. A second signal changes nothing."""
         if self.core.lifecycle.state in (LifecycleState.LEAVING, LifecycleState.STOPPING, LifecycleState.STOPPED):
             return
+        self.timeline.begin(self.core.clock() - waited_us)
         if not self.listener.is_replaced():
             # This process goes on reading the listener, and holds its connections, to the last.
             self.core.lifecycle.leave(self._close_connections)
@@ -71,6 +75,8 @@
 
     def _close_connections(self) -> None:
         """All requests are answered. Close in order: a client without a request may send one in this very moment."""
+        lifecycle = self.core.lifecycle
+        self.timeline.record("last answers", self.timeline.signalled_us + lifecycle.kill_us - LAST_ANSWERS_US)
         self.listener.close_handover()
         if self.fleet:
             self.fleet.leave()
@@ -81,6 +87,7 @@
 
     def _end_pre_request(self) -> None:
         """Reject clients without a request, also those that still wait to be accepted."""
+        self.timeline.record("clients without a request rejected")
         self.listener.accept_last_and_stop()
         self.front.end_rest()
 
@@ -101,6 +108,11 @@
 
     def _stop(self) -> None:
         if self.core.lifecycle.transition(LifecycleEvent.STOPPED):
+            port = self.listener.port
+            self.timeline.record(
+                f"stopped with {self.front.open_connections} clients, {len(self.front.upstreams)} connections to"
+                f" backends, listener {'open' if port and port.connected else 'closed'}"
+            )
             self.front.closing.close_all()
             self.front.upstreams.close_all()
             self.endpoint_watch.close()
--- /dev/null
+++ b/gradefront/stop_timeline.py
@@ -0,0 +1,48 @@
+"""When each step of a planned stop was due and when it ran, for the log: tells a late loop from a step that waits."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import NamedTuple
+
+log = logging.getLogger("gradefront.stop")
+
+US_PER_MS = 1_000
+
+
+class StopStep(NamedTuple):
+    """One step. Times are of the clock, in microseconds; `due_us` is None for what has no set time."""
+
+    name: str
+    ran_us: int
+    due_us: int | None
+
+
+class StopTimeline:
+    """The steps of one planned stop, counted from the signal that began it."""
+
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.clock = clock
+        self.signalled_us = 0
+        self.steps: list[StopStep] = []
+
+    def begin(self, signalled_us: int) -> None:
+        """The reactor handles the signal, which came at `signalled_us`."""
+        self.signalled_us = signalled_us
+        self.record("handled", signalled_us)
+
+    def record(self, name: str, due_us: int | None = None) -> None:
+        """A step runs now."""
+        self.steps.append(StopStep(name, self.clock(), due_us))
+
+    def log(self) -> None:
+        """Log the steps so far as one line; nothing where no stop has begun."""
+        if self.steps:
+            log.info("planned stop, ms after the signal: %s", ", ".join(self._text(step) for step in self.steps))
+
+    def _text(self, step: StopStep) -> str:
+        ran = f"{step.name} {(step.ran_us - self.signalled_us) // US_PER_MS}"
+        if step.due_us is None:
+            return ran
+        return f"{ran} (due {(step.due_us - self.signalled_us) // US_PER_MS})"
--- a/lab/crowd.py
+++ b/lab/crowd.py
@@ -81,6 +81,7 @@
         self.backends: dict[str, WarmingBackend] = {}
         self.warm_ups: list[WarmUp] = []
         self.relays: dict[str, Program] = {}
+        self.programs: list[tuple[str, Program]] = []  # relays by name, ended ones too
         self.sent_by: dict[str, str] = {}  # the relay that got a request, by its id
         self.arrived: set[str] = set()  # ids of requests that reached a backend
         self.answers: Counter[str] = Counter()  # by first word
@@ -161,6 +162,7 @@
         platform_settings["position"] = int(name.removeprefix("n"))
         relay = await self.stack.enter_async_context(program(home, self.discovery, platform_settings, name=name))
         self.relays[name], self.ports[name] = relay, relay.ports[0]
+        self.programs.append((name, relay))
         self.log_readers.append(asyncio.ensure_future(self._read_log(relay)))
 
     async def _read_log(self, relay: Program) -> None:
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 import sys
 import tempfile
@@ -30,6 +31,7 @@
 SIGNALS_PROBABILITY = 0.7
 RELOAD_FIRST_PROBABILITY = 0.4  # that a relay is told to reload right before its end
 CROWD_PROBABILITY = 0.6
+STOP_LINES = re.compile(r"gradefront\.stop|a listener ends")  # in relays' logs, printed where a rule is broken
 
 
 @dataclass(frozen=True)
@@ -41,6 +43,7 @@
     broken: tuple[str, ...]
     answers: dict[str, int]
     max_used_share: float  # of what a backend in slow start is allowed, the most that one was sent
+    stop_log: tuple[str, ...] = ()  # how relays ended, where a rule was broken
 
     def __str__(self) -> str:
         kept = "; ".join(self.broken) or "kept"
@@ -149,10 +152,16 @@
                 fault.cancel()
             ends = await asyncio.gather(*faults, return_exceptions=True)
         errors = [repr(end) for end in ends if isinstance(end, Exception)]
-        errors += [line for relay in fleet.relays.values() for line in relay.log if "Traceback" in line]
+        errors += [line for _, relay in fleet.programs for line in relay.log if "Traceback" in line]
         broken = (*map(str, fleet.falls), *fleet.violations, *errors)
         max_used_share = max(warm_up.max_used_share for warm_up in fleet.warm_ups)
-        return Verdict(seed, scene, broken, dict(fleet.answers), max_used_share)
+        stop_log = [
+            f"{name} at port {relay.ports[0]}: {line}"
+            for name, relay in fleet.programs
+            for line in relay.log
+            if STOP_LINES.search(line)
+        ]
+        return Verdict(seed, scene, broken, dict(fleet.answers), max_used_share, tuple(stop_log if broken else ()))
 
 
 async def soak(first: int, many: int, parallel: int = PARALLEL) -> list[Verdict]:
@@ -163,7 +172,7 @@
         async with slots:
             with tempfile.TemporaryDirectory() as folder:
                 verdict = await asyncio.wait_for(play(seed, Path(folder)), HANG_TIMEOUT_S)
-        print(verdict, flush=True)
+        print(verdict, *verdict.stop_log, sep="\n    ", flush=True)
         return verdict
 
     return list(await asyncio.gather(*(one(seed) for seed in range(first, first + many))))
--- /dev/null
+++ b/tests/test_stop_timeline.py
@@ -0,0 +1,46 @@
+"""What the log tells of a planned stop: the time of each step, and connections that the listener's end resets."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+import signal
+import socket
+from pathlib import Path
+
+import pytest
+
+from lab.stand_ins import Discovery, program, settings
+
+from .loop import HANG_TIMEOUT_S, Backend, Loop
+
+STEP = re.compile(r"(last answers|clients without a request rejected|reactor ended) (\d+)")
+
+
+def test_the_log_tells_when_each_step_of_a_stop_ran(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with program(tmp_path, Discovery(), settings(deadline_ms=300)) as relay:
+            relay.process.send_signal(signal.SIGTERM)
+            line = (await relay.line("planned stop, ms after the signal: handled")).string
+            ran_ms = [int(ms) for _, ms in STEP.findall(line)]
+            assert len(ran_ms) == 3 and ran_ms == sorted(ran_ms)
+            assert ran_ms[0] >= 550, "the longest deadline and 0.25 s"
+
+    asyncio.run(play())
+
+
+def test_the_log_tells_of_connections_that_the_end_of_a_listener_resets(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    loop = Loop(tmp_path, [Backend()])
+    port = loop.relay.port
+    address = ("127.0.0.1", port.getHost().port)
+    loop.order.held.add(port.fileno())
+    queued = [socket.create_connection(address, HANG_TIMEOUT_S) for _ in range(3)]
+    with caplog.at_level(logging.WARNING):
+        port.stopListening()
+        loop.step()
+    assert "a listener ends with 3 connections that were not accepted" in caplog.text
+    for one in queued:
+        one.close()
