Let no client connect after the last accept of a relay that ends

Cause: the listener was closed a turn of the loop after its last accept. The close resets clients that the kernel had let in meanwhile.

Change: 50 ms before the last accept a BPF program drops SYNs to the listener, while handshakes under way still end; the last accept and the close are one call.

Why this works: nobody is let in any more, so nobody can be in the queue at the close, however long the process is held up between the two calls.

--- a/gradefront/listening.py
+++ b/gradefront/listening.py
@@ -77,11 +77,15 @@
         if self.port:
             self.port.stopListening()
 
-    def accept_last_and_stop(self) -> None:
+    def drop_new_handshakes(self) -> None:
+        """Let no further client begin to connect; those whose handshake is under way are accepted."""
+        if self.port:
+            self.port.drop_new_handshakes()
+
+    def accept_last_and_close(self) -> None:
         """Accept those that wait in this process's own queue, then no more."""
         if self.port and self.inherited is None:
-            self.port.accept_waiting(BACKLOG)
-            self.port.stopListening()
+            self.port.accept_last_and_close()
 
     def close_handover(self) -> None:
         """Take over no more connections."""
--- a/gradefront/net/transport.py
+++ b/gradefront/net/transport.py
@@ -17,12 +17,13 @@
 from twisted.internet.main import CONNECTION_DONE, CONNECTION_LOST
 from twisted.python.failure import Failure
 
-from .listen_queue import queued_connections
+from .listen_queue import drop_new_handshakes, queued_connections
 
 log = logging.getLogger("gradefront.transport")
 
 MAX_READS = 16  # of 64 KiB at most, in one `catch_up`: a peer may send without end
 MAX_ACCEPTS = 64  # in one turn of the loop
+MAX_LAST_ACCEPTS = 1 << 12  # before a listener closes; more than its queue holds
 ACCEPT_PAUSE_S = 0.01  # after accept has failed for want of a resource
 
 #: recv(2) and send(2) may fail so on a sound connection; the same call may succeed a moment later.
@@ -160,6 +161,19 @@
                 continue  # an error of that one connection, which accept has taken off the queue
             self._set_up(accepted, address)
 
+    def drop_new_handshakes(self) -> None:
+        """Let no further client begin to connect, where nobody else holds this listener."""
+        if self.connected and not self.is_shared and not drop_new_handshakes(self.socket):
+            log.info("this system can't drop new handshakes")
+
+    def accept_last_and_close(self) -> None:
+        """Accept all that wait, and close in the same call: a turn of the loop later others may have connected."""
+        if not self.connected:
+            return
+        self.accept_waiting(MAX_LAST_ACCEPTS)
+        cast(Any, self).stopReading()
+        self.connectionLost(cast(Any, Failure)(CONNECTION_DONE))
+
     def connectionLost(self, reason: Any) -> None:
         """Close. The kernel resets the connections that wait in the queue of a listener that nobody else holds."""
         queued = 0 if self.is_shared else queued_connections(self.socket)
--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -23,7 +23,8 @@
 EMPTY_CHECK_US = 100_000  # between checks whether a replaced process still has connections
 CLOSED_CHECK_US = 8_000  # between checks whether peers have closed or read their answers
 # After the last answers:
-PRE_REQUEST_END_US = 100_000  # clients without a request are rejected
+HANDSHAKES_END_US = 50_000  # no further client begins to connect; handshakes under way need a round trip
+PRE_REQUEST_END_US = 100_000  # clients without a request are rejected, and the listener is closed
 STOP_US = 250_000  # the process ends, whoever has not closed by then; 0.2 s before SIGKILL
 FORCED_STOP_US = 350_000  # ... even where a client has not read its answer yet; 0.1 s before SIGKILL
 
@@ -80,6 +81,7 @@
         self.listener.close_handover()
         if self.fleet:
             self.fleet.leave()
+        self.core.after(HANDSHAKES_END_US, self.listener.drop_new_handshakes)
         self.core.after(PRE_REQUEST_END_US, self._end_pre_request)
         self.core.after(STOP_US, self._stop_when_sent)
         self.core.after(FORCED_STOP_US, self._stop)
@@ -88,7 +90,7 @@
     def _end_pre_request(self) -> None:
         """Reject clients without a request, also those that still wait to be accepted."""
         self.timeline.record("clients without a request rejected")
-        self.listener.accept_last_and_stop()
+        self.listener.accept_last_and_close()
         self.front.end_rest()
 
     def _stop_when_closed(self) -> None:
