Go on with a relay's last accept where descriptors run short

Callers would see: a reset instead of an answer, for whoever waits in the queue of a relay that ends while it is out of descriptors.

Cause: accept that fails for want of a resource frees a descriptor and pauses for 10 ms; the last accept closed the listener over the rest. Change: the last accept is repeated until the queue is empty, 64 rounds at most; accept_waiting tells whether anything waits. Why it works: each failure frees the descriptor that the next round needs; the connections freed have had their answers.

--- a/gradefront/net/transport.py
+++ b/gradefront/net/transport.py
@@ -23,7 +23,7 @@
 
 MAX_READS = 16  # of 64 KiB at most, in one `catch_up`: a peer may send without end
 MAX_ACCEPTS = 64  # in one turn of the loop
-MAX_LAST_ACCEPTS = 1 << 12  # before a listener closes; more than its queue holds
+MAX_LAST_ACCEPTS = 64  # rounds of MAX_ACCEPTS before a listener closes
 ACCEPT_PAUSE_S = 0.01  # after accept has failed for want of a resource
 
 #: recv(2) and send(2) may fail so on a sound connection; the same call may succeed a moment later.
@@ -147,19 +147,20 @@
         """Accept what waits, MAX_ACCEPTS at most."""
         self.accept_waiting(MAX_ACCEPTS)
 
-    def accept_waiting(self, limit: int) -> None:
-        """Accept the connections that wait, `limit` at most."""
+    def accept_waiting(self, limit: int) -> bool:
+        """Accept the connections that wait, `limit` at most. Whether none waits any more."""
         for _ in range(limit):
             try:
                 accepted, address = self.socket.accept()
             except OSError as error:
                 if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
-                    return
+                    return True
                 if error.errno in EXHAUSTED_ERRORS:
                     self._pause(error)
-                    return
+                    return False
                 continue  # an error of that one connection, which accept has taken off the queue
             self._set_up(accepted, address)
+        return False
 
     def drop_new_handshakes(self) -> None:
         """Let no further client begin to connect, where nobody else holds this listener."""
@@ -170,7 +171,9 @@
         """Accept all that wait, and close in the same call: a turn of the loop later others may have connected."""
         if not self.connected:
             return
-        self.accept_waiting(MAX_LAST_ACCEPTS)
+        for _ in range(MAX_LAST_ACCEPTS):  # each failure for want of a descriptor frees one
+            if self.accept_waiting(MAX_ACCEPTS):
+                break
         cast(Any, self).stopReading()
         self.connectionLost(cast(Any, Failure)(CONNECTION_DONE))
 
--- a/tests/test_listener_end.py
+++ b/tests/test_listener_end.py
@@ -13,7 +13,8 @@
 from gradefront.core.lifecycle_state import LifecycleState
 from lab.stand_ins import Discovery, LineDevice, Program, program, settings, soon
 
-from .loop import OPEN, Backend, Loop, Peer
+from .faults import faulty
+from .loop import HANG_TIMEOUT_S, OPEN, Backend, Loop, Peer
 from .test_moments_stop import stopping
 
 CONNECT_TIMEOUT_MS = 50.0  # on loopback; a client that is not connected by then has been let in by nobody
@@ -70,6 +71,24 @@
     assert late.connected and late.left_outside
 
 
+def test_the_last_accept_goes_on_where_descriptors_run_short(tmp_path: Path) -> None:
+    """Guards against clients that are reset in the queue since one accept failed."""
+    loop = Loop(tmp_path, [Backend()])
+    resting = loop.client()
+    port = loop.relay.port
+    loop.leave()
+    loop.wait(loop.core.lifecycle.kill_us - 450_000 + 40_000, 4_000)
+    loop.order.held.add(port.fileno())
+    address = ("127.0.0.1", port.getHost().port)
+    queued = [Peer(socket.create_connection(address, HANG_TIMEOUT_S)) for _ in range(5)]
+    for number, client in enumerate(queued):
+        client.line(OPEN.format(id=0x9000 + number, c="visit-checkin", d=900))
+    faulty(port).errors["accept"] = [errno.EMFILE, errno.ENOMEM, errno.EMFILE]
+    loop.until(lambda: loop.wait(4_000) or loop.stopped)
+    for client in [resting, *queued]:
+        assert client.read() == b"BUSY\r\n" and client.ended and not client.reset
+
+
 async def _outcome(port: int, rest_s: float) -> str:
     """What a client gets that connects now and makes its request after a rest."""
     try:
