Leave an inherited listener's queue to the platform with the last accept

Callers would see: a connection to a listener that the platform holds, accepted by an ending process and cut off without an answer. Found by looking for the same mistake as at the relay's own listener; not seen in service.

Cause: with an inherited listener the ending process rejected clients without a request 0.1 s after the last answers, but went on accepting to its stop 0.15 s later. Change: it closes its descriptor with its last accept; what comes later stays in the queue for the next process. Why it works: after the rejection nobody is accepted, and a listener that another descriptor holds resets nobody as one of them closes.

--- a/gradefront/listening.py
+++ b/gradefront/listening.py
@@ -83,8 +83,8 @@
             self.port.drop_new_handshakes()
 
     def accept_last_and_close(self) -> None:
-        """Accept those that wait in this process's own queue, then no more."""
-        if self.port and self.inherited is None:
+        """Accept those that wait, then no more. The queue of an inherited listener stays with the platform."""
+        if self.port:
             self.port.accept_last_and_close()
 
     def close_handover(self) -> None:
--- a/tests/test_listener_end.py
+++ b/tests/test_listener_end.py
@@ -16,6 +16,7 @@
 from .faults import faulty
 from .loop import HANG_TIMEOUT_S, OPEN, Backend, Loop, Peer
 from .test_moments_stop import stopping
+from .test_upgrade import Upgrade
 
 CONNECT_TIMEOUT_MS = 50.0  # on loopback; a client that is not connected by then has been let in by nobody
 ARRIVAL_INTERVAL_S = 0.001
@@ -128,3 +129,17 @@
         assert outcomes["BUSY"] > 20 and not outcomes["cut off"], outcomes
 
     asyncio.run(play())
+
+
+def test_a_listener_that_the_platform_holds_keeps_its_queue_for_the_next_process(tmp_path: Path) -> None:
+    """Guards against clients that an ending process accepts and doesn't answer, where no other process runs yet."""
+
+    async def play() -> None:
+        async with Upgrade(tmp_path) as here:
+            given = settings(deadline_ms=DEADLINE_MS)
+            clients = await _clients_up_to_the_end(await here.start("first", given))
+            await here.start("next", given)
+            outcomes = Counter(await soon(asyncio.gather(*clients)))
+        assert outcomes["BUSY"] > 20 and not outcomes["cut off"], outcomes
+
+    asyncio.run(play())
