Read what was handed over before the handover's sockets are closed

Callers would see: a connection cut off without MOVE, when a process that still receives a handover is itself told to end. Found by looking for the same mistake as at the clients' listener; not seen in service.

Cause: HandoverReceiver.close closed the Unix listener over senders in its queue, and each sender's socket over unread messages. The sockets in them went with it. Change: the reading side is shut first, so that the kernel refuses later sends and connects at the sender, which keeps its connection; what was sent is read, then all is closed. What is adopted after the last answers is migrated at once. Why it works: after the shutdown a message is either in the queue, which is read to its end, or an error at its sender.

--- a/gradefront/state/handover_receiver.py
+++ b/gradefront/state/handover_receiver.py
@@ -24,11 +24,13 @@
     SingleProtocolFactory,
     is_same_user,
     listen_as_newest,
+    refuse_more,
 )
 
 log = logging.getLogger("gradefront.handover")
 
 MAX_MESSAGES = 16  # read from one sender in one go
+MAX_LAST_READS = 64  # of MAX_MESSAGES, at the end; more than a socket's buffer holds
 SOCKETS_PER_CONNECTION = 2  # the client's and the backend's
 
 
@@ -87,6 +89,15 @@
                 for fd in fds:  # the reactor has duplicates
                     os.close(fd)
 
+    def read_last(self) -> None:
+        """Refuse further messages, read those that were sent, and end."""
+        refuse_more(self.call)
+        for _ in range(MAX_LAST_READS):
+            if self not in self.receiver.senders:
+                return
+            self.doRead()
+        self.receiver.on_sender_done(self)
+
     def connectionLost(self, reason: object) -> None:  # noqa: ARG002 - Twisted's signature
         """The reactor found the socket broken."""
         self.receiver.on_sender_done(self)
@@ -114,17 +125,22 @@
         self.reactor.addReader(self)
 
     def close(self) -> None:
-        """Take nothing more over; free the name if it is still this process's."""
+        """Take over what was sent and nothing more; free the name if it is still this process's.
+
+        Guards connections that were sent and not read: their sockets would be closed with those of the handover.
+        """
         if self.listener:
             was_newest = self.is_newest()
             self.reactor.removeReader(self)
+            refuse_more(self.listener)
+            self._accept_waiting(self.listener)
             self.listener.close()
             self.listener = None
             if was_newest:
                 with suppress(OSError):  # a name without a listener does no harm: senders are refused
                     self.path.unlink(missing_ok=True)
         for sender in list(self.senders):
-            self.on_sender_done(sender)
+            sender.read_last()
 
     def is_newest(self) -> bool:
         """Whether no newer process holds the name; True also where that can't be known.
@@ -146,12 +162,17 @@
         return "handover"
 
     def doRead(self) -> None:
-        """Accept a sender, if it runs under the same user."""
-        assert self.listener
-        try:
-            call, _ = self.listener.accept()
-        except OSError:
-            return
+        """Accept the senders that wait."""
+        if self.listener:
+            self._accept_waiting(self.listener)
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        with suppress(OSError):  # none waits any more
+            while True:
+                self._add_sender(listener.accept()[0])
+
+    def _add_sender(self, call: socket.socket) -> None:
+        """Read a sender from now on, if it runs under the same user."""
         if not is_same_user(call) or len(self.senders) >= MAX_SENDERS:
             call.close()
             return
@@ -204,7 +225,7 @@
             self.front.new_id(client.id)
         client.start_forwarding(upstream)
         core.counters.add("taken_over")
-        if not has_same_rules:
+        if not has_same_rules or not core.accepts_work:
             core.migrate(connection)
             return
         client.take_bytes(snapshot.from_carer)
--- a/gradefront/state/handover_sockets.py
+++ b/gradefront/state/handover_sockets.py
@@ -10,6 +10,7 @@
 import os
 import socket
 import struct
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -64,6 +65,12 @@
     return call
 
 
+def refuse_more(one: socket.socket) -> None:
+    """Have the kernel refuse what peers send or connect from now on; what came before can still be read."""
+    with suppress(OSError):  # its peer is gone
+        one.shutdown(socket.SHUT_RD)
+
+
 def is_same_user(call: socket.socket) -> bool:
     """Whether the process at the other end runs under this process's user."""
     _, user, _ = PEER_CREDENTIALS.unpack(
--- /dev/null
+++ b/tests/test_handover_end.py
@@ -0,0 +1,57 @@
+"""The end of a process that takes connections over: what was sent to it and not read yet."""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from gradefront.state.form import write
+from gradefront.state.handover_receiver import HandoverReceiver
+from gradefront.state.handover_sockets import SOCKET_NAME
+
+from .loop import Backend, Loop, Peer
+from .test_upgrade import SNAPSHOT
+
+
+class Sender:
+    """A process that hands one established connection over."""
+
+    def __init__(self, folder: Path, now_us: int) -> None:
+        self.snapshot = replace(SNAPSHOT, last_received_us=now_us, awaiting_reply_us=())
+        self.call = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self.call.connect(str(folder / SOCKET_NAME))
+
+    def send(self) -> Peer:
+        """Sends a connection. Returns its client's end."""
+        client, here = _tcp_pair()
+        self.backend, there = _tcp_pair()
+        with here, there:
+            socket.send_fds(self.call, [write(self.snapshot)], [here.fileno(), there.fileno()])
+        return client
+
+
+def _tcp_pair() -> tuple[Peer, socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        one = socket.create_connection(listener.getsockname())
+        return Peer(one), listener.accept()[0]
+
+
+@pytest.mark.parametrize("is_accepted", [False, True], ids=["in the queue", "unread"])
+def test_a_connection_handed_over_in_the_last_instant_is_taken_or_refused(tmp_path: Path, is_accepted: bool) -> None:
+    """Guards against clients that are cut off: their sockets lay unread as the receiving process closed."""
+    loop = Loop(tmp_path, [Backend()])
+    receiver = HandoverReceiver(loop.core, loop.relay.front, loop.reactor, tmp_path)
+    receiver.open()
+    sender = Sender(tmp_path, loop.now_us)
+    if is_accepted:
+        loop.until(lambda: receiver.senders)
+    clients = [sender.send() for _ in range(3)]
+    receiver.close()
+    assert loop.core.counters.counts["taken_over"] == 3
+    loop.until(lambda: all(client.read() for client in clients))
+    assert all(client.got == b"MOVE\r\n" and not client.reset for client in clients), "their class has other rules"
+    with pytest.raises(OSError):
+        sender.send()
