Count the steps of a planned stop from the signal, not from when each ran

The time of SIGKILL counts from SIGTERM.

Cause: the count began when the reactor handled the signal, and the end's steps were chained, each after its delay from when the last one ran, so that every hold-up was added.

Change: the signal handler notes the clock, and all moments are set on the clock from there (RelayCore.at). Why it works: a step that runs late moves no other, and what is overdue runs in order in the next turn.

--- a/gradefront/core/lifecycle.py
+++ b/gradefront/core/lifecycle.py
@@ -45,6 +45,9 @@
     def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
         """Run `then` later."""
 
+    def at(self, at_us: int, then: Callable[[], None]) -> Timer:
+        """Run `then` at a time on the clock."""
+
     def migrate(self, connection: Connection) -> None:
         """Tell a client to reconnect."""
 
@@ -60,6 +63,7 @@
         self.drain_token: object = None  # of the drain in progress: a step of an earlier one does nothing
         self.drained_by_us = 0  # when the last client is to be notified by the drain in progress; 0: none is
         self.kill_us = MAX_DEADLINE_US + KILL_GRACE_US  # from SIGTERM to SIGKILL
+        self.stop_due_us = 0  # when `stop` runs, once the relay leaves
         self.apply_classes(classes)
 
     def apply_classes(self, classes: tuple[RequestClass, ...]) -> None:
@@ -119,7 +123,8 @@
             return False
         if was not in (LifecycleState.LAME_DUCK, LifecycleState.LEAVING, LifecycleState.STOPPING):
             # Not at once: the load balancer still sends clients here, and some would come back to where they left.
-            self._begin_drain(LOAD_BALANCER_DELAY_US, self.core.clock() + DRAIN_END_US)
+            now_us = self.core.clock()
+            self._begin_drain(now_us + LOAD_BALANCER_DELAY_US, now_us + DRAIN_END_US)
             self.core.after(DRAIN_ANSWER_US, partial(self._answer_waiting, self.drain_token))
         return True
 
@@ -131,26 +136,31 @@
         self.update_readiness()
         return True
 
-    def leave(self, done: Callable[[], None], at_once: bool = False) -> None:
+    def leave(self, done: Callable[[], None], at_once: bool = False, waited_us: int = 0) -> None:
         """Shut down gracefully, then call `done`: answer requests and spread migrations over the time until SIGKILL.
 
         `at_once`: a new process accepts clients meanwhile, and none takes these connections over, so that waiting
-        gains nothing.
+        gains nothing. `waited_us`: since SIGTERM, from which the time until SIGKILL counts.
         """
         if not self.transition(LifecycleEvent.LEAVE):
             return
         log.info("leaving: %d connections to migrate", len(self.core.connections))
-        by_us = self.core.clock() + self.kill_us - MIGRATION_END_US
+        now_us = self.core.clock()
+        signalled_us = now_us - waited_us
+        killed_us = signalled_us + self.kill_us
+        by_us = killed_us - MIGRATION_END_US
         if not 0 < self.drained_by_us <= by_us:  # else the drain in progress is fast enough
-            first_us = max(LOAD_BALANCER_DELAY_US, self.kill_us - MIGRATION_START_US)
-            self._begin_drain(MIGRATION_STEP_US if at_once or self.drained_by_us else first_us, by_us)
-        self.core.after(self.kill_us - STOP_US, partial(self.stop, done))
+            begins_at_once = at_once or self.drained_by_us
+            first_us = max(signalled_us + LOAD_BALANCER_DELAY_US, killed_us - MIGRATION_START_US)
+            self._begin_drain(now_us + MIGRATION_STEP_US if begins_at_once else first_us, by_us)
+        self.stop_due_us = killed_us - STOP_US
+        self.core.at(self.stop_due_us, partial(self.stop, done))
 
     def _begin_drain(self, first_us: int, by_us: int) -> None:
-        """Migrate from `first_us` from now until `by_us` on the clock."""
+        """Migrate from `first_us` until `by_us`, both on the clock."""
         token = self.drain_token = object()
         self.drained_by_us = by_us
-        self.core.after(first_us, partial(self._migrate_some, token, by_us))
+        self.core.at(first_us, partial(self._migrate_some, token, by_us))
 
     def _migrate_some(self, token: object, by_us: int) -> None:
         """Migrate a part of the connections, so that the last is notified by `by_us`; later ones at once."""
--- a/gradefront/core/relay.py
+++ b/gradefront/core/relay.py
@@ -113,7 +113,11 @@
 
     def after(self, delay_us: int, then: Callable[[], None]) -> Timer:
         """Run `then` at the first tick after the delay."""
-        timer = self.timers.set(self.clock() + delay_us, then)
+        return self.at(self.clock() + delay_us, then)
+
+    def at(self, at_us: int, then: Callable[[], None]) -> Timer:
+        """Run `then` at the first tick at or after a time on the clock."""
+        timer = self.timers.set(at_us, then)
         self.wake()
         return timer
 
--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-from .core.lifecycle import STOP_US as LAST_ANSWERS_US
 from .core.lifecycle_state import LifecycleEvent, LifecycleState
 from .listening import ClientListener
 from .net.client_protocol import ClientProtocolFactory
@@ -55,7 +54,7 @@
         self.timeline.begin(self.core.clock() - waited_us)
         if not self.listener.is_replaced():
             # This process goes on reading the listener, and holds its connections, to the last.
-            self.core.lifecycle.leave(self._close_connections)
+            self.core.lifecycle.leave(self._close_connections, waited_us=waited_us)
             return
         self.listener.stop()  # what waits in the listener's queue belongs to the new process
         receiver = self.listener.handover_receiver
@@ -64,7 +63,7 @@
         if call:
             log.info("connections go to the process that takes over")
             HandoverSender(self.core, self.front, call).step()
-        self.core.lifecycle.leave(self._close_connections, at_once=call is None)
+        self.core.lifecycle.leave(self._close_connections, at_once=call is None, waited_us=waited_us)
         self._stop_when_empty()
 
     def _stop_when_empty(self) -> None:
@@ -76,15 +75,17 @@
 
     def _close_connections(self) -> None:
         """All requests are answered. Close in order: a client without a request may send one in this very moment."""
-        lifecycle = self.core.lifecycle
-        self.timeline.record("last answers", self.timeline.signalled_us + lifecycle.kill_us - LAST_ANSWERS_US)
+        due_us = self.core.lifecycle.stop_due_us
+        self.timeline.record("last answers", due_us)
         self.listener.close_handover()
         if self.fleet:
             self.fleet.leave()
-        self.core.after(HANDSHAKES_END_US, self.listener.drop_new_handshakes)
-        self.core.after(PRE_REQUEST_END_US, self._end_pre_request)
-        self.core.after(STOP_US, self._stop_when_sent)
-        self.core.after(FORCED_STOP_US, self._stop)
+        # From when this was due, not from when it ran: SIGKILL does not wait for a late loop.
+        began_us = min(due_us, self.core.clock())
+        self.core.at(began_us + HANDSHAKES_END_US, self.listener.drop_new_handshakes)
+        self.core.at(began_us + PRE_REQUEST_END_US, self._end_pre_request)
+        self.core.at(began_us + STOP_US, self._stop_when_sent)
+        self.core.at(began_us + FORCED_STOP_US, self._stop)
         self._stop_when_closed()
 
     def _end_pre_request(self) -> None:
--- /dev/null
+++ b/tests/test_stop_in_time.py
@@ -0,0 +1,72 @@
+"""A planned stop that is held up: the time until SIGKILL counts from the signal, not from when the loop is ready."""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+from pathlib import Path
+from typing import Any, cast
+
+import pytest
+
+from gradefront.net.reactor import Reactor
+from gradefront.service import _on_signal
+
+from .loop import Backend, Loop
+
+HOLD_UP_US = 150_000  # the longest that the operators' pages name
+MARGIN_US = 200_000  # before SIGKILL, where every client has been sent its answer
+TICK_US = 4_000
+
+
+@pytest.mark.parametrize("steps_before", ["the last answers", "the end of resting clients", "the stop"])
+def test_a_loop_that_is_held_up_as_it_ends_is_gone_in_time(tmp_path: Path, steps_before: str) -> None:
+    """Guards against a process that is there still at SIGKILL: delays that were chained made each late step later."""
+    loop = Loop(tmp_path, [Backend()])
+    resting = loop.client()  # it never closes, so that the stop waits as long as it may
+    kill_us = loop.core.lifecycle.kill_us
+    began_us = loop.now_us
+    loop.leave()
+    held_up_us = {"the last answers": 450_000, "the end of resting clients": 350_000, "the stop": 200_000}
+    loop.wait(kill_us - held_up_us[steps_before] - TICK_US)
+    loop.now_us += HOLD_UP_US
+    loop.until(lambda: loop.wait(TICK_US) or loop.stopped)
+    late_us = HOLD_UP_US if steps_before == "the stop" else 0
+    assert loop.stopped - began_us <= kill_us - MARGIN_US + late_us + 2 * TICK_US
+    assert resting.read() == b"BUSY\r\n" and resting.ended and not resting.reset
+
+
+def test_a_signal_that_waits_for_the_loop_ends_the_relay_no_later(tmp_path: Path) -> None:
+    """Guards against a stop that is late by as long as its signal waited."""
+    loop = Loop(tmp_path, [Backend()])
+    resting = loop.client()
+    kill_us = loop.core.lifecycle.kill_us
+    signalled_us = loop.now_us - HOLD_UP_US
+    loop.relay.leave(HOLD_UP_US)
+    loop.until(lambda: loop.wait(20_000) or loop.stopped)
+    assert loop.stopped - signalled_us <= kill_us - MARGIN_US + 20_000
+    assert resting.read() == b"BUSY\r\n" and not resting.reset
+
+
+class HeldUpReactor:
+    """A reactor that takes calls, and makes them when the test says so."""
+
+    def __init__(self) -> None:
+        self.calls: list[Any] = []
+
+    def callFromThread(self, call: Any) -> None:
+        self.calls.append(call)
+
+
+def test_the_signal_handler_notes_when_the_signal_came() -> None:
+    reactor, waited_us = HeldUpReactor(), list[int]()
+    before = signal.getsignal(signal.SIGUSR2)
+    try:
+        _on_signal(signal.SIGUSR2, waited_us.append, cast(Reactor, reactor))
+        os.kill(os.getpid(), signal.SIGUSR2)
+        time.sleep(0.02)
+        reactor.calls[0]()
+    finally:
+        signal.signal(signal.SIGUSR2, before)
+    assert waited_us[0] >= 20_000
