Handle signals from the first line of the program on

Callers see nothing; whoever starts a relay saw a crash where a signal came within the first tenths of a second (open in a postmortem, and untested).

Cause: the handlers were set after the imports, and the default of these signals ends the process: SIGHUP and SIGUSR1 with a signal's status, SIGINT with a traceback. Change: before its imports the program ignores SIGHUP and SIGUSR1 and ends with status 0 at SIGTERM and SIGINT. Why it works: the configuration is read after the imports, so a reload has nothing to do; nothing is held that would have to end in order.

--- a/gradefront/__main__.py
+++ b/gradefront/__main__.py
@@ -8,6 +8,9 @@
 def main() -> int:
     """Run; the exit status. The command line is imported only where it is used: it costs start-up time and memory."""
     if len(sys.argv) == 1:
+        from .early_signals import handle_until_served
+
+        handle_until_served()
         from .service import serve
 
         return serve()
--- a/gradefront/cli/serve.py
+++ b/gradefront/cli/serve.py
@@ -4,6 +4,8 @@
 
 import click
 
+from gradefront.early_signals import handle_until_served
+
 
 @click.command(
     epilog="""\b
@@ -13,6 +15,7 @@
 )
 def serve() -> int:
     """Serve until told to stop. LB_CONFIG names the relay's file; status 2 where it makes no sense."""
+    handle_until_served()
     from gradefront.service import serve as run
 
     return run()
