Answer operators' calls that wait as a relay's process ends

Callers would see: a reset in place of an answer at the admin interface, in the last moment of a process. Found by looking for the same mistake as at the clients' listener; not seen in service, and no client is touched.

Cause: nothing ended the interface; the end of the process closed its listener over the callers in the queue. Change: the stop accepts what waits and closes in one call, answers the calls that have come and tells the others that the relay ends. Why it works: each caller in the queue is accepted and answered before the process leaves, and the answer is with the kernel by then.

--- a/gradefront/admin/server.py
+++ b/gradefront/admin/server.py
@@ -106,6 +106,13 @@
                 self.closing.free_descriptor()
             oldest.answer(["fail others wait"])
 
+    def end(self) -> None:
+        """The process ends: answer the calls that have come, and whoever has made none."""
+        for caller in list(self.callers):
+            caller.catch_up()
+            caller.answer(["fail the relay ends"])
+        self.closing.close_all()
+
     def call(self, line: bytes) -> list[str]:
         """The lines of the answer to one call."""
         self.core.counters.add("door_calls")
--- a/gradefront/service.py
+++ b/gradefront/service.py
@@ -77,7 +77,9 @@
         if awaits_fresh_list:  # others spread their first poll, since a whole fleet may start and ask one service
             self.endpoint_watch.watch()
         self._reloader = ConfigReloader(config, self.front, self.endpoint_list, self.endpoint_watch, self.quic)
-        self._shutdown = Shutdown(self.front, self.client_listener, self.endpoint_watch, self.fleet, reactor)
+        self._shutdown = Shutdown(
+            self.front, self.client_listener, self.endpoint_watch, self.fleet, self.admin_server, reactor
+        )
 
     @property
     def port(self) -> Any:
--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from .core.lifecycle_state import LifecycleEvent, LifecycleState
 from .listening import ClientListener
@@ -31,12 +31,13 @@
 class Shutdown:
     """Ends a relay: hands connections over to a process that replaces it, and closes the others in order."""
 
-    def __init__(
+    def __init__(  # noqa: PLR0913 - it ends all parts of the process
         self,
         front: ClientProtocolFactory,
         listener: ClientListener,
         endpoint_watch: EndpointWatch,
         fleet: FleetPort | None,
+        admin_port: Any,
         reactor: Reactor,
     ) -> None:
         self.core = front.core
@@ -44,6 +45,7 @@
         self.listener = listener
         self.endpoint_watch = endpoint_watch
         self.fleet = fleet
+        self.admin_port = admin_port
         self.reactor = reactor
         self.timeline = StopTimeline(self.core.clock)
 
@@ -119,4 +121,11 @@
             self.front.closing.close_all()
             self.front.upstreams.close_all()
             self.endpoint_watch.close()
+            self._end_admin_interface()
             self.reactor.stop()
+
+    def _end_admin_interface(self) -> None:
+        """Answer the calls that have come. Prevents a close from resetting callers that wait to be accepted."""
+        if self.admin_port:
+            self.admin_port.accept_last_and_close()
+            self.admin_port.factory.end()
--- a/tests/test_moments_stop.py
+++ b/tests/test_moments_stop.py
@@ -195,3 +195,18 @@
     assert caller.got.startswith(b"ok") and caller.got.endswith(b"eof\r\n") and not caller.reset
     caller.close()
     loop.until(lambda: loop.wait(4_000) or loop.stopped)
+
+
+def test_an_operators_call_in_the_queue_at_the_end_is_answered(tmp_path: Path) -> None:
+    """Guards against a reset in place of an answer: the interface was closed over the callers in its queue."""
+    loop = Loop(tmp_path, [Backend()], admin="127.0.0.1:0")
+    stopping(loop)
+    port = loop.relay.admin_server
+    assert port
+    address = ("127.0.0.1", port.getHost().port)
+    loop.order.held.add(port.fileno())
+    calling, silent = (Peer(socket.create_connection(address, HANG_TIMEOUT_S)) for _ in range(2))
+    calling.line("PING")
+    loop.until(lambda: loop.wait(4_000) or loop.stopped)
+    assert calling.read() == b"fail stopped\r\n" and calling.ended and not calling.reset
+    assert silent.read() == b"fail the relay ends\r\n" and silent.ended and not silent.reset
