--- a/gradefront/service.py
+++ b/gradefront/service.py
@@ -122,11 +122,11 @@
 def _on_signal(number: signal.Signals, do: Callable[[int], None], reactor: Reactor) -> None:
     """Have the reactor do it, once it runs, with the microseconds that the signal has waited."""
 
-    def received(*_: object) -> None:
-        came_ns = time.monotonic_ns()
-        reactor.callFromThread(lambda: do((time.monotonic_ns() - came_ns) // NS_PER_US))
+    def on_signal(*_: object) -> None:
+        received_ns = time.monotonic_ns()
+        reactor.callFromThread(lambda: do((time.monotonic_ns() - received_ns) // NS_PER_US))
 
-    signal.signal(number, received)
+    signal.signal(number, on_signal)
 
 
 def _ignore_signals() -> None:
--- a/gradefront/stop_timeline.py
+++ b/gradefront/stop_timeline.py
@@ -15,7 +15,7 @@
     """One step. Times are of the clock, in microseconds; `due_us` is None for what has no set time."""
 
     name: str
-    ran_us: int
+    at_us: int
     due_us: int | None
 
 
@@ -42,7 +42,7 @@
             log.info("planned stop, ms after the signal: %s", ", ".join(self._text(step) for step in self.steps))
 
     def _text(self, step: StopStep) -> str:
-        ran = f"{step.name} {(step.ran_us - self.signalled_us) // US_PER_MS}"
+        text = f"{step.name} {(step.at_us - self.signalled_us) // US_PER_MS}"
         if step.due_us is None:
-            return ran
-        return f"{ran} (due {(step.due_us - self.signalled_us) // US_PER_MS})"
+            return text
+        return f"{text} (due {(step.due_us - self.signalled_us) // US_PER_MS})"
--- a/tests/test_signals_at_the_start.py
+++ b/tests/test_signals_at_the_start.py
@@ -30,7 +30,7 @@
 
 
 @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGUSR1])
-def test_a_process_that_is_told_to_reload_as_it_starts_comes_up(tmp_path: Path, number: signal.Signals) -> None:
+def test_a_reload_signal_during_the_start_is_survived(tmp_path: Path, number: signal.Signals) -> None:
     """Guards against a start that looks like a crash: these signals end a process that has no handlers yet."""
 
     async def play() -> None:
@@ -46,7 +46,7 @@
 
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 @pytest.mark.parametrize("arguments", [[], ["serve"]], ids=["no verb", "serve"])
-def test_a_process_that_is_told_to_end_as_it_starts_has_ended_as_planned(
+def test_a_stop_signal_during_the_start_ends_the_process_with_status_0(
     tmp_path: Path, number: signal.Signals, arguments: list[str]
 ) -> None:
     """Guards against a planned stop that looks like a crash."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,7 +25,7 @@
     soak.require_kept(asyncio.run(soak.soak(seed, 1)))
 
 
-def test_a_broken_rule_is_told_by_itself_with_its_seed() -> None:
+def test_each_broken_rule_is_named_with_its_seed() -> None:
     """Guards against a check that lets a broken rule through."""
     kept = soak.Verdict(1, soak.scene_of(1), (), {}, 0.5)
     broken = soak.Verdict(2, soak.scene_of(2), ("one rule", "another"), {}, 0.5)
--- a/tests/test_stop_in_time.py
+++ b/tests/test_stop_in_time.py
@@ -84,7 +84,7 @@
         self.calls.append(call)
 
 
-def test_the_signal_handler_notes_when_the_signal_came() -> None:
+def test_the_signal_handler_notes_the_time_of_the_signal() -> None:
     reactor, waited_us = HeldUpReactor(), list[int]()
     before = signal.getsignal(signal.SIGUSR2)
     try:
--- a/tests/test_stop_timeline.py
+++ b/tests/test_stop_timeline.py
@@ -18,19 +18,19 @@
 STEP = re.compile(r"(last answers|clients without a request rejected|reactor ended) (\d+)")
 
 
-def test_the_log_tells_when_each_step_of_a_stop_ran(tmp_path: Path) -> None:
+def test_each_step_of_a_stop_is_logged_with_its_time(tmp_path: Path) -> None:
     async def play() -> None:
         async with program(tmp_path, Discovery(), settings(deadline_ms=300)) as relay:
             relay.process.send_signal(signal.SIGTERM)
             line = (await relay.line("planned stop, ms after the signal: handled")).string
-            ran_ms = [int(ms) for _, ms in STEP.findall(line)]
-            assert len(ran_ms) == 3 and ran_ms == sorted(ran_ms)
-            assert ran_ms[0] >= 550, "the longest deadline and 0.25 s"
+            at_ms = [int(ms) for _, ms in STEP.findall(line)]
+            assert len(at_ms) == 3 and at_ms == sorted(at_ms)
+            assert at_ms[0] >= 550, "the longest deadline and 0.25 s"
 
     asyncio.run(play())
 
 
-def test_the_log_tells_of_connections_that_the_end_of_a_listener_resets(
+def test_connections_that_the_end_of_a_listener_resets_are_logged(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
     loop = Loop(tmp_path, [Backend()])
