--- a/lab/__init__.py
+++ b/lab/__init__.py
@@ -1,2 +1,2 @@
-"""The town that gradefront serves, in small: backends, devices, endpoint list, links. Never imported by
+"""What gradefront serves, in small: backends, devices, endpoint list, links. Never imported by
 gradefront."""
--- a/lab/conform/__init__.py
+++ b/lab/conform/__init__.py
@@ -21,7 +21,7 @@
     name: str
     section: str
     requirement: str
-    settings: str  # which town it is played in
+    settings: str  # which place it is played in
     run: Callable[[Any], Awaitable[None]]
     outside: bool  # whether it needs nothing but the front's address
 
@@ -96,14 +96,14 @@
 
 def write(verdicts: list[Verdict], protocol: str, out: Path) -> None:
     """The table, as JSON or Markdown by the file's name."""
-    words = {True: "pass", False: "FAIL", None: "not played"}
+    labels = {True: "pass", False: "FAIL", None: "not played"}
     if out.suffix == ".json":
         rows = [
             {
                 "requirement": v.case.requirement,
                 "section": v.case.section,
                 "case": v.case.name,
-                "verdict": words[v.passed],
+                "verdict": labels[v.passed],
                 "said": v.said,
                 "ms": round(v.seconds * 1000),
             }
@@ -121,6 +121,6 @@
         "| --- | --- | --- | --- |",
     ]
     for v in verdicts:
-        said = f"{words[v.passed]}{': ' + v.said if v.said else ''}".replace("|", "/").replace("\n", " ")
+        said = f"{labels[v.passed]}{': ' + v.said if v.said else ''}".replace("|", "/").replace("\n", " ")
         lines.append(f"| {v.case.requirement} | {v.case.section} | {v.case.name} | {said} |")
     out.write_text("\n".join(lines) + "\n")
--- a/lab/conform/cases_backends.py
+++ b/lab/conform/cases_backends.py
@@ -29,8 +29,8 @@
 # ---- what backends do
 
 
-@case("BRIEF rule 2", "A push box that refuses is left for another at once")
-async def refusing_box_is_left(place: Place) -> None:
+@case("BRIEF rule 2", "A backend that refuses is left for another at once")
+async def refusing_backend_is_left(place: Place) -> None:
     def first_refuses(backend: Any, packet: Any, addr: Any) -> None:
         (serve if tried else refuse)(backend, packet, addr)
         tried.append(backend)
@@ -43,8 +43,8 @@
     assert opened and opened.crypto and len(tried) == 2 and tried[0] is not tried[1]
 
 
-@case("BRIEF rule 1", "A push box's error is the module's to judge: the client is answered at once")
-async def failing_box(place: Place) -> None:
+@case("BRIEF rule 1", "A backend's error is the module's to judge: the client is answered at once")
+async def failing_backend(place: Place) -> None:
     place.manner(err)
     client = await place.client()
     began = time.monotonic()
@@ -52,7 +52,7 @@
     assert await client.closed() == CONNECTION_REFUSED and time.monotonic() - began < 1.2
 
 
-@case("BRIEF rule 1", "Where all push boxes refuse, the client is closed with CONNECTION_REFUSED and a pause")
+@case("BRIEF rule 1", "Where all backends refuse, the client is closed with CONNECTION_REFUSED and a pause")
 async def all_refuse(place: Place) -> None:
     place.manner(refuse)
     client = await place.client()
@@ -60,7 +60,7 @@
     assert await client.closed() == CONNECTION_REFUSED
 
 
-@case("BRIEF rule 2", "At most four attempts, another push box each, never two out at once")
+@case("BRIEF rule 2", "At most four attempts, another backend each, never two out at once")
 async def four_attempts_at_most(place: Place) -> None:
     def count(backend: Any, packet: Any, addr: Any) -> None:
         tried.append(backend)
@@ -80,11 +80,11 @@
     client = await place.client()
     datagram = client.initial()
     client.send(datagram)
-    first = await client.hear()
+    first = await client.receive()
     while not place.inbox.empty():
         place.inbox.get_nowait()
     client.send(datagram)
-    assert await client.hear() == first
+    assert await client.receive() == first
     place.nothing_reached()
 
 
@@ -93,11 +93,11 @@
     place.manner(refuse)
     client = await place.client()
     client.send(client.initial())
-    assert len(await client.hear()) < 400
+    assert len(await client.receive()) < 400
 
 
-@case("BRIEF rule 1", "Silent push boxes: the client is answered before it gives up")
-async def silent_boxes(place: Place) -> None:
+@case("BRIEF rule 1", "Silent backends: the client is answered before it gives up")
+async def silent_backends(place: Place) -> None:
     place.manner(mute)
     client = await place.client()
     began = time.monotonic()
@@ -121,14 +121,14 @@
     client = await place.client()
     client.send(client.initial())
     await place.reached()
-    await client.nothing_came()
+    await client.expect_no_answer()
     place.manner(serve)
     client.send(client.initial())
     opened = open_initial(await client.packet(), client.first_id, from_client=False)
     assert opened and opened.crypto
 
 
-@case("RFC 9000 13.2.1", "A push box that only acknowledges isn't shown to the client; another one is tried")
+@case("RFC 9000 13.2.1", "A backend that only acknowledges isn't shown to the client; another one is tried")
 async def ack_only(place: Place) -> None:
     def ack(backend: Any, packet: Any, addr: Any) -> None:
         backend.answer(packet, addr, b"\x02\x00\x00\x00\x00")
@@ -144,7 +144,7 @@
     assert opened and opened.crypto and tried[0] is not tried[1]
 
 
-@case("RFC 9000 13.2.1", "A push box that acknowledges first and goes on then is passed on")
+@case("RFC 9000 13.2.1", "A backend that acknowledges first and goes on then is passed on")
 async def ack_then_hello(place: Place) -> None:
     def ack(backend: Any, packet: Any, addr: Any) -> None:
         an_id = backend.new_id()
@@ -158,7 +158,7 @@
     assert opened and opened.crypto
 
 
-@case("RFC 9000 12.2", "A push box's Handshake packet that overtakes its Initial follows it")
+@case("RFC 9000 12.2", "A backend's Handshake packet that overtakes its Initial follows it")
 async def handshake_overtakes(place: Place) -> None:
     def turned(backend: Any, packet: Any, addr: Any) -> None:
         early.append(long(V1, packet.from_id, backend.new_id(), varint(60) + bytes(60), 0xE0))
@@ -169,14 +169,16 @@
     place.manner(turned)
     client = await place.client()
     client.send(client.initial())
-    assert (await client.packet()).kind is Kind.INITIAL and await client.hear() == early[0]
+    assert (await client.packet()).kind is Kind.INITIAL and await client.receive() == early[0]
 
 
-@case("RFC 9000 17.2.5", "A push box's own Retry goes to the client, and the client's answer to that push box")
-async def box_retries(place: Place) -> None:
+@case("RFC 9000 17.2.5", "A backend's own Retry goes to the client, and the client's answer to that backend")
+async def backend_retries(place: Place) -> None:
     def retry(backend: Any, packet: Any, addr: Any) -> None:
         if not packet.token:
-            backend.wire.sendto(make_retry(V1, packet.to_id, packet.from_id, backend.new_id(), b"box token"), addr)
+            backend.wire.sendto(
+                make_retry(V1, packet.to_id, packet.from_id, backend.new_id(), b"backend token"), addr
+            )
         else:
             serve(backend, packet, addr)
 
@@ -185,7 +187,7 @@
     client.send(client.initial())
     backend = (await place.reached())[0]
     packet = await client.packet()
-    assert packet.kind is Kind.RETRY and packet.token == b"box token"
+    assert packet.kind is Kind.RETRY and packet.token == b"backend token"
     client.send(client.initial(to_id=packet.from_id, token=packet.token))
     assert (await place.reached())[0] is backend
     assert open_initial(await client.packet(), packet.from_id, from_client=False)
@@ -194,16 +196,16 @@
 @case("RFC 9001 5.8", "A Retry with a wrong tag doesn't count")
 async def bent_retry(place: Place) -> None:
     def retry(backend: Any, packet: Any, addr: Any) -> None:
-        backend.wire.sendto(make_retry(V1, b"other-id", packet.from_id, backend.new_id(), b"box token"), addr)
+        backend.wire.sendto(make_retry(V1, b"other-id", packet.from_id, backend.new_id(), b"backend token"), addr)
 
     place.manner(retry)
     client = await place.client()
     client.send(client.initial())
     await place.reached()
-    await client.nothing_came()
+    await client.expect_no_answer()
 
 
-@case("RFC 9000 5.2", "What a push box says that was left reaches nobody")
+@case("RFC 9000 5.2", "What a backend says that was left reaches nobody")
 async def late_answer(place: Place) -> None:
     place.manner(mute)
     client = await place.client()
@@ -214,29 +216,29 @@
     assert (await place.reached())[0] is not late
     first = await client.packet()
     serve(late, split(data)[0], addr)
-    client.say(first.from_id)
+    client.send_short(first.from_id)
     assert (await place.reached())[0] is not late
-    await client.nothing_came()
+    await client.expect_no_answer()
 
 
-@case("RFC 9000 10.3", "A push box's stateless reset on a standing connection reaches the client")
-async def box_resets(place: Place) -> None:
+@case("RFC 9000 10.3", "A backend's stateless reset on a standing connection reaches the client")
+async def backend_resets(place: Place) -> None:
     client, backend, backend_id, addr = await place.standing()
     reset = b"\x41" + os.urandom(20) + reset_token(RESET_KEY, backend_id)
     backend.wire.sendto(reset, addr)
-    assert await client.hear() == reset
+    assert await client.receive() == reset
 
 
-@case("RFC 9000 5.2", "What others than push boxes send to an upstream port reaches nobody")
+@case("RFC 9000 5.2", "What others than backends send to an upstream port reaches nobody")
 async def stranger_at_the_port(place: Place) -> None:
     client, backend, _, addr = await place.standing()
     stranger = await place.client()
-    stranger.wire.sendto(b"\x40" + client.client_id + b"not from a push box", addr)
+    stranger.wire.sendto(b"\x40" + client.client_id + b"not from a backend", addr)
     other = next(b for b in place.backends if b is not backend)
-    other.wire.sendto(b"\x40" + client.client_id + b"not from its push box", addr)
-    answer = b"\x40" + client.client_id + b"from its push box"
+    other.wire.sendto(b"\x40" + client.client_id + b"not from its backend", addr)
+    answer = b"\x40" + client.client_id + b"from its backend"
     backend.wire.sendto(answer, addr)
-    assert await client.hear() == answer
+    assert await client.receive() == answer
 
 
 # ---- ids
@@ -246,7 +248,7 @@
 async def routed_by_every_form(place: Place, name: str) -> None:
     for backend in place.backends:
         client = await place.client()
-        datagram = client.say(backend.new_id(FORMS[name]))
+        datagram = client.send_short(backend.new_id(FORMS[name]))
         assert (await place.reached())[:2] == (backend, datagram)
 
 
@@ -256,7 +258,7 @@
         backend.form = FORMS[name]
     client, backend, _, addr = await place.standing()
     for _ in range(3):
-        client.say(backend.new_id(FORMS[name]))
+        client.send_short(backend.new_id(FORMS[name]))
         assert (await place.reached())[::2] == (backend, addr), "a fresh id on the same path"
 
 
@@ -264,10 +266,10 @@
 async def configuration_rotates(place: Place) -> None:
     client, backend, _, addr = await place.standing()
     for form in FORMS.values():
-        client.say(backend.new_id(form))
+        client.send_short(backend.new_id(form))
         assert (await place.reached())[0] is backend
     await client.open()
-    client.say(backend.new_id(FORMS["single pass"]))
+    client.send_short(backend.new_id(FORMS["single pass"]))
     found, _, new = await place.reached()
     assert found is backend and new != addr
 
@@ -275,12 +277,12 @@
 @case("QUIC-LB 5.4", "Hidden ids of another key lead nowhere, or at least to no other client", "forms")
 async def other_key(place: Place) -> None:
     client = await place.client()
-    client.say(FORMS["longest"].make(b"\x63" * 4))
-    await client.nothing_came()
+    client.send_short(FORMS["longest"].make(b"\x63" * 4))
+    await client.expect_no_answer()
     place.nothing_reached()
 
 
-@case("QUIC-LB 3", "An Initial is a request, whatever push box its id names", "forms", over=list(FORMS))
+@case("QUIC-LB 3", "An Initial is a request, whatever backend its id names", "forms", over=list(FORMS))
 async def initial_to_a_routable_id(place: Place, name: str) -> None:
     client = await place.client()
     client.first_id = place.backends[0].new_id(FORMS[name])
--- a/lab/conform/cases_packets.py
+++ b/lab/conform/cases_packets.py
@@ -40,7 +40,7 @@
 async def unknown_version_is_negotiated(place: Place, version: int) -> None:
     client = await place.client()
     client.send(long(version, os.urandom(8), client.client_id).ljust(1_200, b"\0"))
-    head = invariants(await client.hear())
+    head = invariants(await client.receive())
     assert head and head.version == 0 and head.to_id == client.client_id
 
 
@@ -54,7 +54,7 @@
     client = await place.client()
     to, own = os.urandom(lengths[0]), os.urandom(lengths[1])
     client.send(long(GREASE, to, own).ljust(1_200, b"\0"))
-    head = invariants(await client.hear())
+    head = invariants(await client.receive())
     assert head and (head.to_id, head.from_id) == (own, to)
 
 
@@ -62,10 +62,10 @@
 async def negotiation_lists_versions(place: Place) -> None:
     client = await place.client()
     client.send(long(GREASE, os.urandom(8), client.client_id).ljust(1_200, b"\0"))
-    told = await client.hear()
-    head = invariants(told)
-    assert head and (len(told) - head.end) % 4 == 0
-    versions = [int.from_bytes(told[at : at + 4]) for at in range(head.end, len(told), 4)]
+    answer = await client.receive()
+    head = invariants(answer)
+    assert head and (len(answer) - head.end) % 4 == 0
+    versions = [int.from_bytes(answer[at : at + 4]) for at in range(head.end, len(answer), 4)]
     assert set(VERSIONS) <= set(versions) and [v for v in versions if v & 0x0F0F0F0F == 0x0A0A0A0A]
 
 
@@ -78,21 +78,21 @@
 async def short_unknown_version_is_dropped(place: Place, size: int) -> None:
     client = await place.client()
     client.send(long(GREASE, os.urandom(8), client.client_id).ljust(size, b"\0"))
-    await client.nothing_came()
+    await client.expect_no_answer()
 
 
 @case("RFC 9000 6.1", "Version Negotiation is never answered", outside=True)
 async def negotiation_is_not_answered(place: Place) -> None:
     client = await place.client()
     client.send(long(0, os.urandom(8), client.client_id, V1.to_bytes(4)).ljust(1_200, b"\0"))
-    await client.nothing_came()
+    await client.expect_no_answer()
 
 
 @case("RFC 9000 8.1", "Version Negotiation is smaller than what it answers", outside=True)
 async def negotiation_is_small(place: Place) -> None:
     client = await place.client()
     client.send(long(GREASE, os.urandom(20), os.urandom(20)).ljust(1_200, b"\0"))
-    assert len(await client.hear()) < 120
+    assert len(await client.receive()) < 120
 
 
 @case("RFC 8999 5", "Packets of an unknown version on a standing connection go by id alone")
@@ -106,12 +106,12 @@
 @case("RFC 9369 4", "Version 2 is set up like version 1")
 async def version_2_stands(place: Place) -> None:
     client, backend, backend_id, _ = await place.standing(version=V2)
-    client.say(backend_id)
+    client.send_short(backend_id)
     assert (await place.reached())[0] is backend
 
 
-@case("RFC 9368 2.3", "A push box may answer a version 1 Initial in version 2")
-async def box_changes_to_version_2(place: Place) -> None:
+@case("RFC 9368 2.3", "A backend may answer a version 1 Initial in version 2")
+async def backend_changes_to_version_2(place: Place) -> None:
     def in_v2(backend: Any, packet: Any, addr: Any) -> None:
         backend.wire.sendto(seal_initial(V2, packet.to_id, packet.from_id, backend.new_id(), SERVER_HELLO), addr)
 
@@ -126,8 +126,8 @@
     assert (await place.reached())[0] is backend
 
 
-@case("RFC 9368 2.1", "A push box that refuses the version is an error: the client is closed, and may come again")
-async def box_negotiates(place: Place) -> None:
+@case("RFC 9368 2.1", "A backend that refuses the version is an error: the client is closed, and may come again")
+async def backend_negotiates(place: Place) -> None:
     place.manner(
         lambda backend, packet, addr: backend.wire.sendto(long(0, packet.from_id, packet.to_id, V2.to_bytes(4)), addr)
     )
@@ -160,20 +160,20 @@
     "an id of configuration 7": b"\x40" + b"\xe0" + b"u" * 60,
     "an id of a configuration that isn't live": b"\x40" + b"\xc0" + b"u" * 60,
     "an id that tells another length": b"\x40\x0a" + b"\x01\x01" + b"u" * 60,
-    "an id of a push box that nobody knows": b"\x40" + PLAIN.make(b"\x63\x63") + b"u" * 60,
+    "an id of a backend that nobody knows": b"\x40" + PLAIN.make(b"\x63\x63") + b"u" * 60,
     "a short header shorter than its id": b"\x40" + PLAIN.make(b"\x01\x01")[:9],
 }
 
 
 @case(
     "RFC 9000 12.2",
-    "What can't be read is dropped without a word, and nothing reaches a push box",
+    "What can't be read is dropped without a word, and nothing reaches a backend",
     over=list(BAD.items()),
 )
 async def nonsense_is_dropped(place: Place, bad: tuple[str, bytes]) -> None:
     client = await place.client()
     client.send(bad[1])
-    await client.nothing_came()
+    await client.expect_no_answer()
     place.nothing_reached()
 
 
@@ -192,7 +192,7 @@
 async def small_initial_is_dropped(place: Place, size: int) -> None:
     client = await place.client()
     client.send(client.initial(size=size))
-    await client.nothing_came()
+    await client.expect_no_answer()
     place.nothing_reached()
 
 
@@ -201,7 +201,7 @@
     client = await place.client()
     client.first_id = os.urandom(length)
     client.send(client.initial())
-    await client.nothing_came()
+    await client.expect_no_answer()
     place.nothing_reached()
 
 
@@ -217,11 +217,11 @@
 @case("RFC 9000 5.1", "Clients' ids of 0 to 20 octets work", over=[0, 1, 4, 8, 20])
 async def client_ids_of_any_length(place: Place, length: int) -> None:
     client, backend, backend_id, _ = await place.standing(id_length=length)
-    client.say(backend_id)
+    client.send_short(backend_id)
     _, _, addr = await place.reached()
     answer = b"\x40" + client.client_id + b"answer"
     backend.wire.sendto(answer, addr)
-    assert await client.hear() == answer
+    assert await client.receive() == answer
 
 
 BENT = {
@@ -243,11 +243,11 @@
 async def unsound_initial_is_dropped(place: Place, bent: tuple[str, Any]) -> None:
     client = await place.client()
     client.send(bent[1](client))
-    await client.nothing_came()
+    await client.expect_no_answer()
     place.nothing_reached()
 
 
-@case("RFC 9000 12.2", "Packets coalesced with an Initial go to the push box with it")
+@case("RFC 9000 12.2", "Packets coalesced with an Initial go to the backend with it")
 async def coalesced_goes_along(place: Place) -> None:
     client = await place.client()
     early = long(V1, client.first_id, client.client_id, varint(40) + b"0-rtt" * 8, 0xD0)
@@ -266,7 +266,7 @@
     assert (await place.reached()) == (backend, early, addr)
 
 
-@case("RFC 9000 7", "A repeated Initial reaches the same push box, and makes no second visit")
+@case("RFC 9000 7", "A repeated Initial reaches the same backend, and makes no second visit")
 async def repeated_initial(place: Place) -> None:
     place.manner(mute)
     client = await place.client()
@@ -288,8 +288,8 @@
     assert (await place.reached()) == (backend, more, addr)
 
 
-@case("RFC 9000 13.2", "Every datagram of a waiting client goes to the next push box, in order")
-async def all_go_to_the_next_box(place: Place) -> None:
+@case("RFC 9000 13.2", "Every datagram of a waiting client goes to the next backend, in order")
+async def all_go_to_the_next_backend(place: Place) -> None:
     place.manner(mute)
     client = await place.client()
     sent = [client.initial(), client.initial(b"\x06\x40\x40\x04more"), client.initial(b"\x06\x40\x44\x04more")]
@@ -298,7 +298,7 @@
     place.manner(serve)
     again = [await place.reached() for _ in sent]
     assert [a[1] for a in again] == [f[1] for f in first] == sent
-    assert {a[0] for a in again}.isdisjoint({f[0] for f in first}), "the same push box was asked twice"
+    assert {a[0] for a in again}.isdisjoint({f[0] for f in first}), "the same backend was asked twice"
 
 
 @case("RFC 9000 10.2", "A client that closes while it waits is owed nothing more, and nobody else is tried")
@@ -308,7 +308,7 @@
     client.send(client.initial())
     await place.reached()
     client.send(client.initial(CLIENT_CLOSE))
-    await client.nothing_came()
+    await client.expect_no_answer()
     place.manner(serve)
     other = await place.client()
     other.send(other.initial())
@@ -339,7 +339,7 @@
     assert (await place.reached()) == (backend, flight, addr)
 
 
-@case("RFC 8446 4.1.4", "After a HelloRetryRequest the second ClientHello goes to the same push box")
+@case("RFC 8446 4.1.4", "After a HelloRetryRequest the second ClientHello goes to the same backend")
 async def hello_retry_request(place: Place) -> None:
     client, backend, backend_id, addr = await place.standing()
     second = client.initial(b"\x06\x40\x44" + varint(1_000) + bytes(1_000), to_id=backend_id, keys_of=client.first_id)
--- a/lab/conform/cases_paths.py
+++ b/lab/conform/cases_paths.py
@@ -59,12 +59,12 @@
     pieces = [b"\x06" + varint(at) + varint(len(part)) + part for at, part in ((0, text[:100]), (100, text[100:]))]
     second = client.initial(pieces[1])
     client.send(second, second)
-    await client.nothing_came()
+    await client.expect_no_answer()
     place.nothing_reached()
     first = client.initial(pieces[0])
     client.send(first)
     got = [(await place.reached())[1] for _ in range(2)]
-    assert got == [second, first], "all that came goes to the push box, in the order in which it came"
+    assert got == [second, first], "all that came goes to the backend, in the order in which it came"
 
 
 @case(
@@ -88,22 +88,22 @@
 # ---- migration
 
 
-@case("RFC 9000 9.3", "A client's new address reaches the same push box from another address, by a known id")
+@case("RFC 9000 9.3", "A client's new address reaches the same backend from another address, by a known id")
 async def rebinding(place: Place) -> None:
     client, backend, backend_id, addr = await place.standing()
     for _ in range(4):
         await client.open()
-        client.say(backend_id)
+        client.send_short(backend_id)
         found, _, new = await place.reached()
         assert found is backend and new != addr
         addr = new
 
 
-@case("RFC 9000 9.5", "A client's new address with a fresh id reaches the same push box from another address")
+@case("RFC 9000 9.5", "A client's new address with a fresh id reaches the same backend from another address")
 async def active_migration(place: Place) -> None:
     client, backend, _, addr = await place.standing()
     await client.open()
-    client.say(backend.new_id())
+    client.send_short(backend.new_id())
     found, _, new = await place.reached()
     assert found is backend and new != addr
 
@@ -111,14 +111,14 @@
 @case("RFC 9000 9.3", "Answers go to the client address that their path stands for")
 async def answers_by_path(place: Place) -> None:
     client, backend, backend_id, addr = await place.standing()
-    old = client.heard
+    old = client.received
     probe = Client(place)
     await probe.open()
     probe.client_id = client.client_id
-    probe.say(backend_id)
+    probe.send_short(backend_id)
     _, _, new = await place.reached()
     backend.wire.sendto(b"\x40" + client.client_id + b"to the new one", new)
-    assert await probe.hear() == b"\x40" + client.client_id + b"to the new one"
+    assert await probe.receive() == b"\x40" + client.client_id + b"to the new one"
     backend.wire.sendto(b"\x40" + client.client_id + b"to the old one", addr)
     assert await asyncio.wait_for(old.get(), 5) == b"\x40" + client.client_id + b"to the old one"
 
@@ -130,9 +130,9 @@
     probe_id = backend.new_id()
     paths = set()
     for _ in range(5):
-        client.say(backend_id)
+        client.send_short(backend_id)
         paths.add((await place.reached())[2])
-        probe.say(probe_id)
+        probe.send_short(probe_id)
         paths.add((await place.reached())[2])
     assert len(paths) == 2 and addr in paths
 
@@ -143,26 +143,26 @@
     other = await place.client()
     seen = []
     for n in range(10):
-        (client if n % 2 else other).say(backend_id)
+        (client if n % 2 else other).send_short(backend_id)
         seen.append((await place.reached())[2])
     assert len(set(seen)) == 2 and seen[1] == addr and seen[0::2] == [seen[0]] * 5
 
 
-@case("RFC 9000 9.3", "Two clients that swap their addresses each keep their push box")
+@case("RFC 9000 9.3", "Two clients that swap their addresses each keep their backend")
 async def swap(place: Place) -> None:
-    one, one_box, one_id, _ = await place.standing()
-    two, two_box, two_id, _ = await place.standing()
-    one.say(two_id)
-    assert (await place.reached())[0] is two_box
-    two.say(one_id)
-    assert (await place.reached())[0] is one_box
+    one, one_backend, one_id, _ = await place.standing()
+    two, two_backend, two_id, _ = await place.standing()
+    one.send_short(two_id)
+    assert (await place.reached())[0] is two_backend
+    two.send_short(one_id)
+    assert (await place.reached())[0] is one_backend
 
 
 @case("RFC 9000 9.5", "A fresh id on a known path keeps the path")
 async def fresh_id_same_path(place: Place) -> None:
     client, backend, _, addr = await place.standing()
     for _ in range(20):
-        client.say(backend.new_id())
+        client.send_short(backend.new_id())
         assert (await place.reached())[::2] == (backend, addr)
 
 
@@ -171,10 +171,10 @@
     client, backend, first, addr = await place.standing()
     before = (await place.relay.counters())["quic_ids_now"]
     for _ in range(100):
-        client.say(backend.new_id())
+        client.send_short(backend.new_id())
         await place.reached()
     assert (await place.relay.counters())["quic_ids_now"] - before <= 24
-    client.say(first)
+    client.send_short(first)
     assert (await place.reached())[::2] == (backend, addr), "a forgotten id still decodes"
 
 
@@ -182,12 +182,12 @@
 async def shared_ports(place: Place) -> None:
     clients = [await place.standing() for _ in range(12)]
     for n, (client, backend, backend_id, _) in enumerate(clients):
-        client.say(backend_id)
+        client.send_short(backend_id)
         found, _, addr = await place.reached()
         assert found is backend
         answer = b"\x40" + client.client_id + b"%d" % n
         backend.wire.sendto(answer, addr)
-        assert await client.hear() == answer
+        assert await client.receive() == answer
     counts = await place.relay.counters()
     assert counts["quic_ports_now"] <= 2 and counts["quic_paths_shared"] >= 4
 
@@ -196,11 +196,11 @@
 async def unknown_id_on_a_shared_port(place: Place) -> None:
     clients = [await place.standing() for _ in range(12)]
     for client, backend, backend_id, _ in clients:
-        client.say(backend_id)
+        client.send_short(backend_id)
         _, _, addr = await place.reached()
         answer = b"\x40" + os.urandom(8) + b"to a fresh id of the client's"
         backend.wire.sendto(answer, addr)
-        while await client.hear() != answer:
+        while await client.receive() != answer:
             pass
 
 
@@ -208,7 +208,7 @@
 
 
 @asynccontextmanager
-async def told(place: Place, backend: Any, phase: str) -> AsyncIterator[None]:
+async def published(place: Place, backend: Any, phase: str) -> AsyncIterator[None]:
     """The endpoint list tells this of a backend; afterwards that it serves, and the relay knows that it does."""
     place.discovery.publish(backend.name, phase)
     try:
@@ -217,7 +217,7 @@
         place.discovery.publish(backend.name, "SERVING")
         probe = await place.client()
         while True:
-            probe.say(backend.new_id())
+            probe.send_short(backend.new_id())
             try:
                 await asyncio.wait_for(place.inbox.get(), 0.1)
                 break
@@ -225,41 +225,41 @@
                 continue
 
 
-@case("RFC 9000 10.3", "A gone push box's connections end with a stateless reset for the id used last")
-async def gone_box(place: Place) -> None:
+@case("RFC 9000 10.3", "A gone backend's connections end with a stateless reset for the id used last")
+async def gone_backend(place: Place) -> None:
     client, backend, _, _ = await place.standing()
     last = backend.new_id()
-    client.say(last)
+    client.send_short(last)
     await place.reached()
-    async with told(place, backend, "DELETED"):
-        reset = await client.hear()
+    async with published(place, backend, "DELETED"):
+        reset = await client.receive()
         assert reset[-16:] == reset_token(RESET_KEY, last) and 21 <= len(reset) <= 43 and reset[0] & 0xC0 == 0x40
-        client.say(last, b"x" * 60)
-        again = await client.hear()
+        client.send_short(last, b"x" * 60)
+        again = await client.receive()
         assert again[-16:] == reset_token(RESET_KEY, last) and len(again) < 60 + len(last) + 1, "given again"
-        client.say(last, b"")
-        await client.nothing_came()  # RFC 9000 10.3.3: too short to be answered with something shorter
+        client.send_short(last, b"")
+        await client.expect_no_answer()  # RFC 9000 10.3.3: too short to be answered with something shorter
 
 
-@case("BRIEF rule 3", "Ids of a gone push box lead nowhere")
-async def ids_of_a_gone_box(place: Place) -> None:
+@case("BRIEF rule 3", "Ids of a gone backend lead nowhere")
+async def ids_of_a_gone_backend(place: Place) -> None:
     backend = place.backends[2]
-    async with told(place, backend, "DELETED"):
+    async with published(place, backend, "DELETED"):
         watch = await place.client()
         while (await place.relay.counters()).get("quic_dropped_gone_box", 0) == 0:
-            watch.say(backend.new_id())
+            watch.send_short(backend.new_id())
         while not place.inbox.empty():
             place.inbox.get_nowait()
         client = await place.client()
-        client.say(backend.new_id())
-        await client.nothing_came()
+        client.send_short(backend.new_id())
+        await client.expect_no_answer()
         place.nothing_reached()
 
 
-@case("BRIEF rule 3", "A draining push box gets no Initial, also not one whose id names it; what stands goes on")
-async def draining_box(place: Place) -> None:
+@case("BRIEF rule 3", "A draining backend gets no Initial, also not one whose id names it; what stands goes on")
+async def draining_backend(place: Place) -> None:
     client, backend, backend_id, _ = await place.standing()
-    async with told(place, backend, "DRAINING"):
+    async with published(place, backend, "DRAINING"):
         await asyncio.sleep(0.5)
         while not place.inbox.empty():
             place.inbox.get_nowait()
@@ -269,15 +269,15 @@
                 new.first_id = backend.new_id()
             new.send(new.initial())
             assert (await place.reached())[0] is not backend
-        client.say(backend_id)
+        client.send_short(backend_id)
         found, data, _ = await place.reached()
         assert found is backend and data[0] < 0x80
 
 
-@case("BRIEF rule 3", "0-RTT and stray Initials whose id names a draining push box don't reach it")
-async def stray_to_a_draining_box(place: Place) -> None:
+@case("BRIEF rule 3", "0-RTT and stray Initials whose id names a draining backend don't reach it")
+async def stray_to_a_draining_backend(place: Place) -> None:
     backend = place.backends[0]
-    async with told(place, backend, "DRAINING"):
+    async with published(place, backend, "DRAINING"):
         await place.relay.line(f"backend {backend.name} is draining")
         client = await place.client()
         an_id = backend.new_id()
@@ -285,7 +285,7 @@
             long(V1, an_id, client.client_id, varint(400) + b"0-rtt..." * 50, 0xD0).ljust(1_200, b"\0"),
             client.initial(to_id=an_id, keys_of=b"another relay's first id"),
         )
-        await client.nothing_came()
+        await client.expect_no_answer()
         place.nothing_reached()
 
 
--- a/lab/conform/cases_validation.py
+++ b/lab/conform/cases_validation.py
@@ -38,9 +38,7 @@
     return await client.retry()
 
 
-@case(
-    "RFC 9000 8.1.2", "An Initial without a token gets a Retry, and no push box hears of it", "retry", over=[V1, V2]
-)
+@case("RFC 9000 8.1.2", "An Initial without a token gets a Retry, and no backend hears of it", "retry", over=[V1, V2])
 async def retry_is_sent(place: Place, version: int) -> None:
     client = await place.client(version=version)
     packet = await retried(client)
@@ -57,7 +55,7 @@
     assert sound_retry(packet, client.first_id) and not sound_retry(packet, b"other-id")
 
 
-@case("RFC 9000 17.2.5.1", "The Retry's id differs from the client's first, and names no push box", "retry")
+@case("RFC 9000 17.2.5.1", "The Retry's id differs from the client's first, and names no backend", "retry")
 async def retry_changes_the_id(place: Place) -> None:
     client = await place.client()
     packet = await retried(client)
@@ -68,8 +66,8 @@
 async def retry_is_small(place: Place) -> None:
     client = await place.client()
     client.send(client.initial())
-    assert len(await client.hear()) < 300
-    await client.nothing_came()
+    assert len(await client.receive()) < 300
+    await client.expect_no_answer()
 
 
 @case("RFC 9000 8.1.2", "An Initial with the token is served", "retry", over=[V1, V2])
@@ -81,8 +79,8 @@
     assert open_initial(await client.packet(), packet.from_id, from_client=False)
 
 
-@case("QUIC-Retry-Offload", "Push boxes with the shared keys read both ids out of the token", "retry")
-async def box_reads_the_token(place: Place) -> None:
+@case("QUIC-Retry-Offload", "Backends with the shared keys read both ids out of the token", "retry")
+async def backend_reads_the_token(place: Place) -> None:
     client = await place.client()
     packet = await retried(client)
     client.send(client.initial(to_id=packet.from_id, token=packet.token))
@@ -156,17 +154,17 @@
     place.manner(mute)
     while not place.inbox.empty():
         place.inbox.get_nowait()
-    await client.hear()
-    client.say(packet.from_id)
+    await client.receive()
+    client.send_short(packet.from_id)
     replay = client.initial(to_id=packet.from_id, token=packet.token)
     client.send(replay)
-    while not client.heard.empty():
-        client.heard.get_nowait()
-    await client.nothing_came()
+    while not client.received.empty():
+        client.received.get_nowait()
+    await client.expect_no_answer()
 
 
-@case("RFC 9000 8.1.3", "A NEW_TOKEN that only a push box can read gets a Retry, not a refusal", "retry")
-async def box_s_new_token(place: Place) -> None:
+@case("RFC 9000 8.1.3", "A NEW_TOKEN that only a backend can read gets a Retry, not a refusal", "retry")
+async def backend_s_new_token(place: Place) -> None:
     client = await place.client()
     client.send(client.initial(token=b"\x82" + os.urandom(60)))
     assert (await client.packet()).kind is Kind.RETRY
@@ -188,11 +186,11 @@
     assert (await client.packet()).kind is Kind.RETRY
 
 
-@case("RFC 9000 17.2.5.2", "A push box's Retry after the relay's is an error: a client takes one only", "retry")
+@case("RFC 9000 17.2.5.2", "A backend's Retry after the relay's is an error: a client takes one only", "retry")
 async def second_retry(place: Place) -> None:
     place.manner(
         lambda backend, packet, addr: backend.wire.sendto(
-            make_retry(V1, packet.to_id, packet.from_id, backend.new_id(), b"box token"), addr
+            make_retry(V1, packet.to_id, packet.from_id, backend.new_id(), b"backend token"), addr
         )
     )
     client = await place.client()
@@ -241,7 +239,7 @@
     stranger = await place.client("127.0.6.1")
     datagram = stranger.initial()
     stranger.send(datagram)
-    await stranger.nothing_came()
+    await stranger.expect_no_answer()
     await asyncio.sleep(0.06)
     stranger.send(datagram)
     assert open_initial(await stranger.packet(), stranger.first_id, from_client=False)
@@ -251,7 +249,7 @@
 async def denied_network(place: Place) -> None:
     client = await place.client("127.66.0.1")
     client.send(client.initial())
-    await client.nothing_came()
+    await client.expect_no_answer()
     place.nothing_reached()
 
 
@@ -263,7 +261,7 @@
         assert open_initial(await client.packet(), client.first_id, from_client=False)
     late = await place.client("127.0.8.1")
     late.send(late.initial())
-    datagram = await late.hear()
+    datagram = await late.receive()
     opened = open_initial(split(datagram)[0], late.first_id, from_client=False)
     assert opened and opened.close_code == CONNECTION_REFUSED and len(datagram) < 400
     other = await place.client("127.0.9.1")
@@ -276,7 +274,7 @@
     assert opened and opened.close_code is None
 
 
-@case("design: unconfirmed visits", "A visit that no client goes on with ends, and a push box's id leads on", "tight")
+@case("design: unconfirmed visits", "A visit that no client goes on with ends, and a backend's id leads on", "tight")
 async def nobody_there(place: Place) -> None:
     client = await place.client("127.0.10.1")
     client.send(client.initial())
@@ -285,5 +283,5 @@
     await place.relay.counters()
     while (await place.relay.counters()).get("quic_unconfirmed", 0) < 1:
         await asyncio.sleep(0.05)
-    client.say(packet.from_id)
+    client.send_short(packet.from_id)
     assert (await place.reached())[0] is backend
--- a/lab/conform/quic.py
+++ b/lab/conform/quic.py
@@ -27,7 +27,7 @@
 from . import Suite, Verdict, judge, write
 from .raw_backend import FORMS, PLAIN, RawBackend, Where, serve
 
-HEAR_S = 6.0  # against a hang; a case that expects something fails then
+RECEIVE_TIMEOUT_S = 6.0  # against a hang; a case that expects something fails then
 GREASE = 0x1A2A3A4A
 RESET_KEY = bytes(range(16))
 TOKEN_KEYS = {1: (bytes(range(16)).hex(), bytes(12).hex()), 2: (bytes(range(16, 32)).hex(), bytes(range(12)).hex())}
@@ -45,7 +45,7 @@
         self.version = version
         self.first_id = os.urandom(8)
         self.client_id = os.urandom(id_length)
-        self.heard: asyncio.Queue[bytes] = asyncio.Queue()
+        self.received: asyncio.Queue[bytes] = asyncio.Queue()
         self.number = 0
 
     async def open(self, host: str = "127.0.0.1") -> Client:
@@ -58,7 +58,7 @@
         return self
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        self.heard.put_nowait(data)
+        self.received.put_nowait(data)
 
     def initial(
         self, payload: bytes = HELLO, size: int = 1_200, token: bytes = b"", to_id: bytes = b"", keys_of: bytes = b""
@@ -83,19 +83,19 @@
         for datagram in datagrams:
             self.wire.sendto(datagram, self.place.front)
 
-    def say(self, an_id: bytes, text: bytes = b"something that only the ends can read") -> bytes:
+    def send_short(self, an_id: bytes, text: bytes = b"something that only the ends can read") -> bytes:
         """A short packet."""
         datagram = b"\x41" + an_id + text
         self.send(datagram)
         return datagram
 
-    async def hear(self) -> bytes:
+    async def receive(self) -> bytes:
         """The next datagram."""
-        return await asyncio.wait_for(self.heard.get(), HEAR_S)
+        return await asyncio.wait_for(self.received.get(), RECEIVE_TIMEOUT_S)
 
     async def packet(self) -> Packet:
         """The next datagram's first packet."""
-        return split(await self.hear(), len(self.client_id))[0]
+        return split(await self.receive(), len(self.client_id))[0]
 
     async def retry(self) -> Packet:
         """The Retry that comes next."""
@@ -110,11 +110,11 @@
         assert opened.close_code is not None, "what came doesn't close"
         return opened.close_code
 
-    async def nothing_came(self) -> None:
+    async def expect_no_answer(self) -> None:
         """The front hasn't answered what was sent before: its next word is the answer to this."""
         mark = os.urandom(8)
         self.send(long(GREASE, os.urandom(8), mark).ljust(1_200, b"\0"))
-        head = invariants(await self.hear())
+        head = invariants(await self.receive())
         assert head and head.version == 0 and head.to_id == mark, "the front answered what it must not"
         for _ in range(4):
             await asyncio.sleep(0)
@@ -144,7 +144,7 @@
 
     def manner(self, how: Callable[[RawBackend, Packet, Where], None]) -> None:
         """What all backends do. After silence or errors the decision module holds placements back for a while:
-        the next case gets a fresh town."""
+        the next case gets a fresh place."""
         self.soiled = self.soiled or how is not serve
         for backend in self.backends:
             backend.manner = how
@@ -155,10 +155,10 @@
 
     async def reached(self) -> tuple[RawBackend, bytes, Where]:
         """What a backend got next."""
-        return await asyncio.wait_for(self.inbox.get(), HEAR_S)
+        return await asyncio.wait_for(self.inbox.get(), RECEIVE_TIMEOUT_S)
 
     def nothing_reached(self) -> None:
-        assert self.inbox.empty(), "a push box got something"
+        assert self.inbox.empty(), "a backend got something"
 
     async def standing(self, host: str = "127.0.0.1", **more: Any) -> tuple[Client, RawBackend, bytes, Where]:
         """A client whose connection stands: with its backend, that one's id for it, and the address it shows."""
@@ -166,7 +166,7 @@
         client.send(client.initial())
         backend, _, addr = await self.reached()
         packet = await client.packet()
-        client.say(packet.from_id)
+        client.send_short(packet.from_id)
         await self.reached()
         return client, backend, packet.from_id, addr
 
@@ -178,7 +178,7 @@
         client.send(client.initial(to_id=packet.from_id, token=packet.token))
         backend, _, addr = await self.reached()
         packet = await client.packet()
-        client.say(packet.from_id)
+        client.send_short(packet.from_id)
         await self.reached()
         return client, backend, packet.from_id, addr
 
@@ -229,8 +229,8 @@
     return TokenMint(keys, newest, life_us)
 
 
-#: What the front's file says beside backends, by the name of the town.
-TOWNS: dict[str, dict[str, Any]] = {
+#: What the front's file says beside backends, by the name of the place.
+FRONT_SETTINGS: dict[str, dict[str, Any]] = {
     "plain": {"ids": ids_of(PLAIN), "limits": WIDE},
     "forms": {"ids": ids_of(*FORMS.values()), "limits": WIDE},
     "retry": {"ids": ids_of(PLAIN), "limits": WIDE, "retry": retry_of("always")},
@@ -254,7 +254,7 @@
 
 
 @asynccontextmanager
-async def town(name: str) -> AsyncIterator[Place]:
+async def open_place(name: str) -> AsyncIterator[Place]:
     """A relay with the settings of that name."""
     place = Place(("", 0))
     discovery = place.discovery = Discovery()
@@ -268,10 +268,10 @@
     for backend in backends:
         await backend.open()
         discovery.add(backend.name, backend.port)
-    told = TOWNS[name]
-    file = file_of(place.real, **told)
+    front_settings = FRONT_SETTINGS[name]
+    file = file_of(place.real, **front_settings)
     for backend in place.backends:
-        wanted = {int(f["server_id_length"]) for f in told["ids"]}
+        wanted = {int(f["server_id_length"]) for f in front_settings["ids"]}
         file["boxes"][backend.name] = {  # type: ignore[index]
             "server_ids": [s.hex() for s in backend.server_ids if len(s) in wanted],
             "reset_key": RESET_KEY.hex(),
@@ -279,7 +279,7 @@
         }
     with tempfile.TemporaryDirectory() as folder:
         async with program(Path(folder), discovery, settings(objective_ms=150, deadline_ms=1200), file) as relay:
-            await asyncio.wait_for(discovery.asked.wait(), HEAR_S)
+            await asyncio.wait_for(discovery.asked.wait(), RECEIVE_TIMEOUT_S)
             await relay.line("endpoint list from")
             place.relay = relay
             place.front = ("127.0.0.1", relay.ports[1])
@@ -292,7 +292,7 @@
 
 
 async def play(only: list[str], against: list[Where], tell: Callable[[Verdict], None]) -> list[Verdict]:
-    """All chosen cases, a town for each kind of settings."""
+    """All chosen cases, a place for each kind of settings."""
     from . import quic_cases  # noqa: F401 - writes the cases into the suite
 
     verdicts: list[Verdict] = []
@@ -308,7 +308,7 @@
     for name in dict.fromkeys(case.settings for case in chosen):
         left = [case for case in chosen if case.settings == name]
         while left:
-            async with town(name) as place:
+            async with open_place(name) as place:
                 while left and not place.soiled:
                     verdicts.append(await judge(left.pop(0), place))
                     tell(verdicts[-1])
@@ -322,9 +322,9 @@
     parser.add_argument("--against", action="append", default=[])
     parser.add_argument("--only", action="append", default=[])
     parser.add_argument("--out", action="append", default=[], type=Path)
-    told = parser.parse_args(arguments)
+    options = parser.parse_args(arguments)
     against = []
-    for where in told.against:
+    for where in options.against:
         host, _, port = where.rpartition(":")
         if not host or not port.isdigit():
             print(f"gradefront: --against: '{where}' is not HOST:PORT", file=sys.stderr)
@@ -335,8 +335,8 @@
         if verdict.passed is False:
             print(f"FAIL {verdict.case.section}: {verdict.case.name}: {verdict.said}", flush=True)
 
-    verdicts = asyncio.run(play(told.only, against, tell))
-    for out in told.out:
+    verdicts = asyncio.run(play(options.only, against, tell))
+    for out in options.out:
         write(verdicts, "quic", out)
     passed = sum(v.passed is True for v in verdicts)
     failed = sum(v.passed is False for v in verdicts)
@@ -354,4 +354,4 @@
     sys.exit(quic.main())
 
 
-__all__ = ["CONNECTION_REFUSED", "Client", "Place", "RawBackend", "main", "reset_token", "suite", "town"]
+__all__ = ["CONNECTION_REFUSED", "Client", "Place", "RawBackend", "main", "reset_token", "suite", "open_place"]
--- a/tests/test_conform.py
+++ b/tests/test_conform.py
@@ -25,7 +25,7 @@
 
 def test_cases_against_an_address_need_nothing_else_and_others_are_not_played(tmp_path: Path) -> None:
     async def against() -> list[Verdict]:
-        async with conform.town("plain") as place:
+        async with conform.open_place("plain") as place:
             return await conform.play(["RFC 8999 6"], [place.front], lambda verdict: None)
 
     verdicts = asyncio.run(against())
--- a/tests/test_quic_recovery.py
+++ b/tests/test_quic_recovery.py
@@ -16,7 +16,7 @@
 from gradefront.quic.headers import Kind, split
 from gradefront.quic.ids import IdForm
 from gradefront.quic.initials import open_initial, seal_initial
-from lab.conform.quic import Client, Place, ids_of, town
+from lab.conform.quic import Client, Place, ids_of, open_place
 from lab.conform.raw_backend import SERVER_HELLO, RawBackend
 from lab.flood import Forge
 from lab.quic import file_of
@@ -38,7 +38,7 @@
             return
         form = next(f for f in self.forms if f.number == data[1] >> 5)
         at = 1 + form.length
-        assert form.read(data[1:at]) == self.server_ids[1], "routed to the wrong push box"
+        assert form.read(data[1:at]) == self.server_ids[1], "routed to the wrong backend"
         self.wire.sendto(b"\x40" + data[at : at + 12] + self.name.encode(), addr)
 
 
@@ -63,15 +63,15 @@
     async def _ask(self, timeout_s: float) -> bool:
         self.count += 1
         mark = self.client_id + self.count.to_bytes(4)
-        self.say(self.an_id, mark)
+        self.send_short(self.an_id, mark)
         deadline = time.monotonic() + timeout_s
         while (left := deadline - time.monotonic()) > 0:
             try:
-                answer = await asyncio.wait_for(self.heard.get(), left)
+                answer = await asyncio.wait_for(self.received.get(), left)
             except TimeoutError:
                 return False
             if answer[1:13] == mark:
-                assert answer[13:] == self.backend.name.encode(), "another push box answered"
+                assert answer[13:] == self.backend.name.encode(), "another backend answered"
                 return True
         return False
 
@@ -105,7 +105,7 @@
     one = Phone(place)
     await one.open()
     one.send(one.initial())
-    packet = split(await asyncio.wait_for(one.heard.get(), 5))[0]
+    packet = split(await asyncio.wait_for(one.received.get(), 5))[0]
     assert packet.kind is Kind.INITIAL
     one.an_id = packet.from_id
     server = OLD.read(one.an_id)
@@ -226,14 +226,14 @@
 
 def test_a_drain_in_a_storm_of_initials_gets_nothing_new_after_500_ms(tmp_path: Path) -> None:
     async def play() -> None:
-        async with town("retry") as place:  # proven ones, so that the storm is of requests, not of noise
+        async with open_place("retry") as place:  # proven ones, so that the storm is of requests, not of noise
             drained = place.backends[0]
             assert drained in [(await place.standing_by_retry())[1] for _ in range(20)], "it is used before"
-            told = place.discovery.publish(drained.name, "DRAINING")
+            published_s = place.discovery.publish(drained.name, "DRAINING")
             late: list[float] = []
             storm = 0
             forge = Forge()
-            while time.monotonic() < told + 1.5:
+            while time.monotonic() < published_s + 1.5:
                 client = await place.client()
                 for _ in range(20):
                     client.send(forge.make())
@@ -243,8 +243,8 @@
                 client.send(client.initial(to_id=packet.from_id, token=packet.token))
                 found, data, _ = await place.reached()
                 storm += 1
-                if found is drained and time.monotonic() > told + 0.5 and data[0] >= 0x80:
-                    late.append(time.monotonic() - told)
+                if found is drained and time.monotonic() > published_s + 0.5 and data[0] >= 0x80:
+                    late.append(time.monotonic() - published_s)
             assert late == [] and storm > 50
 
     asyncio.run(play())
@@ -256,7 +256,7 @@
     seconds = float(os.environ.get("GRADEFRONT_JUNK_S", "20"))
 
     async def play() -> None:
-        async with town("plain") as place:
+        async with open_place("plain") as place:
             forge = Forge()
             usual = await place.standing()
             client = await place.client("127.0.20.1")
@@ -285,13 +285,13 @@
                 for _ in range(25):
                     client.send(junk())
                 sent += 25
-                usual[0].say(usual[2])
+                usual[0].send_short(usual[2])
                 while (arrived := await place.reached())[1][:1] != b"\x41":
                     pass
                 arrived[0].wire.sendto(b"\x40" + usual[0].client_id + b"heard", arrived[2])
-                assert (await usual[0].hear())[9:] == b"heard", "the usual client notices"
-                while not client.heard.empty():
-                    client.heard.get_nowait()
+                assert (await usual[0].receive())[9:] == b"heard", "the usual client notices"
+                while not client.received.empty():
+                    client.received.get_nowait()
                 if not settled and passed > seconds / 3:
                     settled = resident_kb(pid)
             grown = resident_kb(pid) - settled
--- a/tests/test_quic_service.py
+++ b/tests/test_quic_service.py
@@ -41,7 +41,7 @@
 
 @asynccontextmanager
 async def service(
-    folder: Path, moods: list[str], told: dict[str, Any] | None = None, **quic: object
+    folder: Path, moods: list[str], given: dict[str, Any] | None = None, **quic: object
 ) -> AsyncIterator[QuicService]:
     backends = [QuicBackend(f"box-{n}", bytes([7, n]), mood) for n, mood in enumerate(moods)]
     discovery = Discovery()
@@ -49,7 +49,7 @@
         await backend.open()
         discovery.add(backend.name, backend.port)
     file = file_of(backends, **quic)
-    async with program(folder, discovery, told or settings(), file) as relay:
+    async with program(folder, discovery, given or settings(), file) as relay:
         await soon(discovery.asked.wait())
         here = QuicService(backends, discovery, relay)
         yield here
@@ -94,9 +94,9 @@
             homes = [here.backend_of(await d.ask("hello")) for d in old]
             drained = homes[0]
             before = len(drained.connections)
-            told = here.discovery.publish(drained.name, "DRAINING")
+            published_s = here.discovery.publish(drained.name, "DRAINING")
             new = went_on = 0
-            while time.monotonic() < told + 1.2:
+            while time.monotonic() < published_s + 1.2:
                 # Some of these ids happen to name the drained backend; they are requests all the same.
                 device = await here.device(FORM.make(drained.server_id) if new % 2 else None)
                 await device.ask(f"new {new}")
@@ -108,11 +108,11 @@
                     await asyncio.wait({asked, one.reset}, return_when=asyncio.FIRST_COMPLETED)
                     if asked.done():
                         assert here.backend_of(asked.result()) is homes[new % len(old)]
-                        went_on += homes[new % len(old)] is drained and time.monotonic() > told + 0.5
+                        went_on += homes[new % len(old)] is drained and time.monotonic() > published_s + 0.5
                     asked.cancel()
             assert new > 10 and before >= 1 and went_on >= 1
-            assert not [t for t in drained.opened_at if t > told + 0.5], "new after 500 ms"
-            assert not [t for t in drained.initials if t > told + 0.5], "an Initial after 500 ms"
+            assert not [t for t in drained.opened_at if t > published_s + 0.5], "new after 500 ms"
+            assert not [t for t in drained.initials if t > published_s + 0.5], "an Initial after 500 ms"
             assert sum(len(b.connections) for b in here.backends) == len(old) + new
 
     asyncio.run(play())
--- a/tests/test_quic_tokens.py
+++ b/tests/test_quic_tokens.py
@@ -149,9 +149,9 @@
 def test_version_negotiation_swaps_ids_and_names_our_versions() -> None:
     head = invariants(bytes.fromhex("c0babababa") + b"\x03abc" + b"\x02de" + bytes(1_200))
     assert head
-    told = version_negotiation(head)
-    back = invariants(told)
+    answer = version_negotiation(head)
+    back = invariants(answer)
     assert back and (back.version, back.to_id, back.from_id) == (0, b"de", b"abc")
-    versions = [int.from_bytes(told[at : at + 4]) for at in range(back.end, len(told), 4)]
+    versions = [int.from_bytes(answer[at : at + 4]) for at in range(back.end, len(answer), 4)]
     assert V1 in versions and V2 in versions and len(versions) == 3
     assert [v for v in versions if v & 0x0F0F0F0F == 0x0A0A0A0A], "one that nobody speaks (RFC 9000 15)"
