Leave handshakes under way a round trip where a relay's end runs late

Callers would see: a reset after a completed handshake, at a relay whose loop was held up as it ended. Found on reading the change of the listener's end once more; not seen.

Cause: all moments of the end stand on the clock, so a loop that is 50 ms late dropped new handshakes and closed the listener in one turn, and the time between the two, which lets handshakes under way end, was gone. Change: the listener's end is 50 ms after the SYNs are dropped at the earliest; the stop, which does not move, ends it where that would be later.

--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from .core.lifecycle_state import LifecycleEvent, LifecycleState
@@ -22,8 +23,9 @@
 EMPTY_CHECK_US = 100_000  # between checks whether a replaced process still has connections
 CLOSED_CHECK_US = 8_000  # between checks whether peers have closed or read their answers
 # After the last answers:
-HANDSHAKES_END_US = 50_000  # no further client begins to connect; handshakes under way need a round trip
+HANDSHAKES_END_US = 50_000  # no further client begins to connect
 PRE_REQUEST_END_US = 100_000  # clients without a request are rejected, and the listener is closed
+HANDSHAKE_US = 50_000  # at least, between these two: a round trip for handshakes under way
 STOP_US = 250_000  # the process ends, whoever has not closed by then; 0.2 s before SIGKILL
 FORCED_STOP_US = 350_000  # ... even where a client has not read its answer yet; 0.1 s before SIGKILL
 
@@ -48,6 +50,7 @@
         self.admin_port = admin_port
         self.reactor = reactor
         self.timeline = StopTimeline(self.core.clock)
+        self.pre_request_ended = False
 
     def begin(self, waited_us: int = 0) -> None:
         """A planned restart, by a signal that came `waited_us` ago. A second signal changes nothing."""
@@ -84,14 +87,22 @@
             self.fleet.leave()
         # From when this was due, not from when it ran: SIGKILL does not wait for a late loop.
         began_us = min(due_us, self.core.clock())
-        self.core.at(began_us + HANDSHAKES_END_US, self.listener.drop_new_handshakes)
-        self.core.at(began_us + PRE_REQUEST_END_US, self._end_pre_request)
+        self.core.at(began_us + HANDSHAKES_END_US, partial(self._end_handshakes, began_us + PRE_REQUEST_END_US))
         self.core.at(began_us + STOP_US, self._stop_when_sent)
         self.core.at(began_us + FORCED_STOP_US, self._stop)
         self._stop_when_closed()
 
+    def _end_handshakes(self, pre_request_end_us: int) -> None:
+        """Let no further client connect. Late, it moves the end of the listener: handshakes under way need a time."""
+        self.timeline.record("no new handshakes")
+        self.listener.drop_new_handshakes()
+        self.core.at(max(pre_request_end_us, self.core.clock() + HANDSHAKE_US), self._end_pre_request)
+
     def _end_pre_request(self) -> None:
-        """Reject clients without a request, also those that still wait to be accepted."""
+        """Reject clients without a request, also those that still wait to be accepted. Once, whoever comes first."""
+        if self.pre_request_ended:
+            return
+        self.pre_request_ended = True
         self.timeline.record("clients without a request rejected")
         self.listener.accept_last_and_close()
         self.front.end_rest()
@@ -113,6 +124,7 @@
 
     def _stop(self) -> None:
         if self.core.lifecycle.transition(LifecycleEvent.STOPPED):
+            self._end_pre_request()
             port = self.listener.port
             self.timeline.record(
                 f"stopped with {self.front.open_connections} clients, {len(self.front.upstreams)} connections to"
--- a/tests/test_listener_end.py
+++ b/tests/test_listener_end.py
@@ -7,9 +7,12 @@
 import select
 import socket
 from collections import Counter
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from gradefront.core.lifecycle_state import LifecycleState
 from lab.stand_ins import Discovery, LineDevice, Program, program, settings, soon
 
@@ -72,6 +75,31 @@
     assert late.connected and late.left_outside
 
 
+@pytest.mark.parametrize("held_up_us", [0, 150_000, 400_000])
+def test_a_handshake_under_way_has_a_time_to_end_though_the_loop_is_late(tmp_path: Path, held_up_us: int) -> None:
+    """Guards against clients that believe themselves connected: a late loop ran both steps in one turn."""
+    loop = Loop(tmp_path, [Backend()])
+    resting = loop.client()
+    port = loop.relay.port
+    times_us = list[int]()
+
+    def noted(step: Callable[[], None]) -> Callable[[], None]:
+        def call() -> None:
+            times_us.append(loop.now_us)
+            step()
+
+        return call
+
+    port.drop_new_handshakes = noted(port.drop_new_handshakes)
+    port.accept_last_and_close = noted(port.accept_last_and_close)
+    stopping(loop)
+    loop.now_us += held_up_us
+    loop.until(lambda: loop.wait(4_000) or loop.stopped)
+    assert resting.read() == b"BUSY\r\n" and resting.ended and not resting.reset
+    if held_up_us <= 150_000:  # the longest that the operators' pages name; the stop does not wait for more
+        assert times_us[1] - times_us[0] >= 50_000
+
+
 def test_the_last_accept_goes_on_where_descriptors_run_short(tmp_path: Path) -> None:
     """Guards against clients that are reset in the queue since one accept failed."""
     loop = Loop(tmp_path, [Backend()])
