--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,9 +13,9 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from standins import Backend, Case, CaseError, Client, Discovery, Relay, free_port, main, settings
 
-DESCRIPTORS = 256  # that a process may hold; the smallest limit that the pages name
 CONNECTIONS = 40  # that stand: with their backends' side 80 descriptors, under a third
-IDLE = 400  # clients that connect and say nothing
+DESCRIPTORS = 256 + 2 * CONNECTIONS  # that a process may hold: 256 beyond those for the standing connections
+IDLE = 500  # clients that connect and say nothing
 AGAIN_S = 0.1  # one that was turned away comes again
 KILL_S = 3.7  # from SIGTERM to SIGKILL: the longest deadline, 3 s at most, and 0.7 s
 
