Count no refusal of a repeated Initial as proof that the request never ran

Cause: the client repeats its Initial, the dead backend's port refuses the repetition, and the refusal ended the attempt as "unreachable", which the decision module counts as never executed. A refusal of a later datagram says nothing of an earlier one; neither does a rejection by the next process.

Change: an attempt tracks the parts of the ClientHello that it has sent. A refusal or rejection is proof only while no part was sent twice, and a refusal only if the quoted datagram has a part; otherwise the attempt ends as a reset. A retry begins with one copy of what the client has repeated, refusals end only attempts that sent the datagram, the first datagram sent makes the attempt "sent", and a reload that changes the address ends the attempt.

Why it works: a backend can run a request only with all its parts, so if each was sent once and one was refused, no process can have run it.

--- a/gradefront/quic/connections.py
+++ b/gradefront/quic/connections.py
@@ -16,6 +16,7 @@
 from .initials import CONNECTION_REFUSED, InitialPayload, busy_reason, close_initial, is_valid_retry, open_initial
 from .listener import Listener
 from .paths import Path
+from .sent_hello import ClientDatagram, SentHello
 
 #: Datagrams of a pending client, kept for the next attempt; a post-quantum ClientHello alone takes two.
 MAX_BUFFERED_DATAGRAMS = 12
@@ -83,7 +84,7 @@
         self.used_retry = False  # the client sent a Retry token of ours and would ignore a second Retry
         self.confirmed = False  # the client has used an id that only the backend's answer contained
         self.last_id = b""  # the id chosen by the backend that the client used most recently
-        self.buffered: list[bytes] = []
+        self.buffered: list[ClientDatagram] = []
         self.hello: HelloReader | None = None
         self.ids: OrderedDict[bytes, None] = OrderedDict()
         self.paths: dict[Address, Path] = {}
@@ -124,10 +125,10 @@
         self.front.close_paths(self)
         self.front.on_discarded(self)
 
-    def buffer_datagram(self, datagram: bytes, client: Address) -> None:
+    def buffer_datagram(self, datagram: ClientDatagram, client: Address) -> None:
         """Keep a pending client's datagram for further attempts, and send it to the current attempt's backend."""
         self.client = client
-        if datagram not in self.buffered:
+        if all(kept.data != datagram.data for kept in self.buffered):
             self.buffered = [*self.buffered[:1], *self.buffered[1:][-MAX_BUFFERED_DATAGRAMS + 2 :], datagram]
         if self.upstream:
             self.upstream.send(datagram, client)
@@ -206,22 +207,33 @@
         self.front = front
         self.owner = owner
         self.attempt = attempt
+        self.sent = SentHello()
         self.early_datagrams: list[bytes] = []
 
     def begin(self) -> None:
-        """Send the backend all datagrams that the client has sent so far."""
+        """Send the backend the datagrams that the client has sent so far, except those that only repeat others."""
         for datagram in list(self.owner.buffered):
-            self.send(datagram, self.owner.client)
+            if not self.sent.covers(datagram):
+                self.send(datagram, self.owner.client)
         self.attempt.advance(AttemptPhase.SENT)
 
-    def send(self, datagram: bytes, client: Address) -> None:
+    def send(self, datagram: ClientDatagram, client: Address) -> None:
         """Send a datagram to the backend unless vetoed: a retransmission must not open a connection at a backend
         that has begun to drain."""
         if self.attempt.send_veto() is None:
             self.attempt.advance(AttemptPhase.WRITING)
             path = self.front.get_path(client, self.attempt.backend, self.owner, self.owner.listener)
-            if path:
-                path.send(datagram)
+            if path and path.send(datagram.data):
+                self.sent.add(datagram)
+                self.attempt.advance(AttemptPhase.SENT)  # at once: the next datagram may be refused as it is sent
+
+    def on_refused(self, quote: bytes, is_shared: bool) -> None:
+        """Handle an ICMP port unreachable error for a datagram that begins with `quote`; `is_shared`: other paths
+        send to the same backend from the same port."""
+        if is_shared and not self.sent.may_include(quote):
+            return
+        never_executed = self.sent.refusal_proves_not_executed(quote)
+        self.attempt.end(Cause.UNREACHABLE if never_executed else Cause.BROKEN, ConnectionEnd.BROKEN)
 
     def on_backend_datagram(self, path: Path, datagram: bytes) -> None:
         """Handle a backend's datagram while the attempt is in flight; anything but a valid answer is dropped."""
@@ -252,13 +264,22 @@
     def _on_initial(self, opened: InitialPayload, packet: Packet, path: Path, datagram: bytes) -> None:
         """Handle the backend's Initial: a close ends the attempt, a CRYPTO frame establishes the connection."""
         if opened.close_code is not None:
-            full = opened.close_code == CONNECTION_REFUSED
-            self.attempt.end(Cause.REJECTED if full else Cause.ERROR)
+            self._on_close(opened.close_code)
         elif opened.crypto:
             self._establish(packet, path, datagram)
         else:  # only an ACK: withheld from the client, as the backend may not continue the handshake
             self.front.count_drop("ack_only")
 
+    def _on_close(self, close_code: int) -> None:
+        """Handle the backend's close. CONNECTION_REFUSED proves that the request was not executed, unless the client
+        has repeated it: the process that rejects the repetition may have replaced the one that took the request."""
+        if close_code != CONNECTION_REFUSED:
+            self.attempt.end(Cause.ERROR)
+        elif self.sent.has_repetition:
+            self.attempt.end(Cause.BROKEN)
+        else:
+            self.attempt.end(Cause.REJECTED)
+
     def _establish(self, packet: Packet, path: Path, datagram: bytes) -> None:
         self.owner.add_id(packet.from_id)
         self.owner.last_id = packet.from_id
--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -38,6 +38,7 @@
 from .initials import INVALID_TOKEN, InitialPayload, busy_reason, close_initial, make_retry, open_initial
 from .listener import Listener
 from .maintenance import SERVING_STATES, TICK_US, Maintenance
+from .sent_hello import ClientDatagram, hello_parts
 from .tables import ANSWER_RETENTION_US
 from .tokens import TokenCheck, TokenVerdict
 
@@ -204,7 +205,7 @@
         owner.is_pending = True
         self.admission.add_pending(network)
         self.connections[owner] = None
-        owner.buffered.append(datagram)
+        owner.buffered.append(ClientDatagram(datagram, hello_parts(opened.crypto)))
         if self.quic.class_of_protocol or self.quic.class_of_name:
             owner.hello = HelloReader()
             self._read_hello(owner, opened)
@@ -238,10 +239,12 @@
     def _on_pending_datagram(
         self, owner: QuicClientConnection, packets: list[Packet], datagram: bytes, client: Address
     ) -> None:
+        parts: tuple[range, ...] = ()
         for packet in packets:
             if packet.kind is not Kind.INITIAL:
                 continue
             opened = self._open(packet, owner.first_id)
+            parts += hello_parts(opened.crypto) if opened else ()
             if opened and opened.close_code is not None:
                 if owner.connection:
                     self.core.on_client_closed(owner.connection, ConnectionEnd.ORDERLY)
@@ -249,7 +252,7 @@
                 return
             if opened and owner.hello:
                 self._read_hello(owner, opened)
-        owner.buffer_datagram(datagram, client)
+        owner.buffer_datagram(ClientDatagram(datagram, parts), client)
 
     # ---- packets of established connections
 
@@ -257,7 +260,7 @@
         """Send an established connection's packet to its backend, whatever client address it arrives from."""
         owner = self.owners.get(connection_id)
         if owner is not None and not owner.is_established:
-            owner.buffer_datagram(datagram, client)
+            owner.buffer_datagram(ClientDatagram(datagram), client)
             return
         if owner is None and connection_id in self.moved_ids:
             self.count_drop("moved")
--- a/gradefront/quic/paths.py
+++ b/gradefront/quic/paths.py
@@ -22,6 +22,7 @@
 
 from .headers import LONG_HEADER_BIT, MAX_ID_LENGTH
 from .places import PortSlot
+from .sent_hello import MAX_QUOTE_LENGTH
 from .sockets import Hub, Socket
 
 log = logging.getLogger("gradefront.quic")
@@ -164,10 +165,11 @@
         return 1
 
     def read_errors(self) -> None:
-        """Read the error queue, and report connection refusals: nothing listens at the backend's address."""
+        """Read the error queue, and report connection refusals: nothing listens at the backend's address. Each report
+        has the start of the datagram that was refused, as the ICMP error quotes it."""
         while not self.closed:
             try:
-                _, ancillary, _, backend_address = self.socket.recvmsg(64, 512, MSG_ERRQUEUE)
+                quote, ancillary, _, backend_address = self.socket.recvmsg(MAX_QUOTE_LENGTH, 512, MSG_ERRQUEUE)
             except OSError:
                 return
             refused = any(
@@ -177,8 +179,9 @@
             )
             slot = self.slots.get(backend_address[:2]) if backend_address else None
             if refused and slot:
-                for path in slot.paths():
-                    self.pool.on_refused(path)
+                paths = slot.paths()
+                for path in paths:
+                    self.pool.on_refused(path, quote, len(paths) > 1)
 
 
 class PortPool:
@@ -192,7 +195,7 @@
         max_ports: int,
         paths_per_slot: int,
         on_backend_datagram: Callable[[Path, bytes], None],
-        on_refused: Callable[[Path], None],
+        on_refused: Callable[[Path, bytes, bool], None],
         count: Callable[[str], None],
     ) -> None:
         self.hub = hub
--- a/gradefront/quic/tables.py
+++ b/gradefront/quic/tables.py
@@ -90,7 +90,15 @@
         for path in list(self.route_ids):
             backend = quic.backends.get(path.backend)
             if backend is None or backend.address != path.backend_address:
-                self._close_path(path)
+                self._close_path_of_old_address(path)
+
+    def _close_path_of_old_address(self, path: Path) -> None:
+        """Close a path to an address that its backend no longer has. An attempt in flight ends: the client's repeated
+        datagrams would otherwise open a second connection at the new address."""
+        upstream = path.owner.upstream if path.owner and path.owner.is_connecting else None
+        if upstream:
+            upstream.attempt.end(Cause.BROKEN, ConnectionEnd.BROKEN)
+        self._close_path(path)
 
     def count_drop(self, reason: str) -> None:
         """Count a dropped datagram by its reason."""
@@ -222,13 +230,18 @@
             self.pool.identify(path, path.client_id)
         path.listener.reply(datagram, path.client)
 
-    def _on_refused(self, path: Path) -> None:
-        """Handle an ICMP port unreachable error: nothing listens at the backend's address."""
+    def _on_refused(self, path: Path, quote: bytes, is_shared: bool) -> None:
+        """Handle an ICMP port unreachable error: nothing listens at the backend's address.
+
+        `quote` is the start of the refused datagram; `is_shared`: it may be another path's.
+        """
         owner = path.owner
-        if owner and owner.upstream and not owner.upstream.attempt.is_over:
+        if owner is None or owner.upstream is None or owner.upstream.attempt.is_over:
+            self._close_path(path)
+        elif owner.is_established:
             owner.upstream.attempt.end(Cause.UNREACHABLE, ConnectionEnd.BROKEN)
         else:
-            self._close_path(path)
+            owner.upstream.on_refused(quote, is_shared)
 
     # ---- callbacks of connections
 
