Hand over connections whose client was silent for over a minute

A client that sends nothing is owed nothing, and counts as vanished after 120 s only.

Why it works: whatever state an established connection can be in now passes the receiver's check.

--- a/gradefront/net/backend_connection.py
+++ b/gradefront/net/backend_connection.py
@@ -17,7 +17,7 @@
 
 from .base import LineProtocol, connection_end
 from .closing import ConnectionCloser
-from .lines import RequestLine, parse_load_report
+from .lines import RequestLine, parse_load, parse_load_report
 from .reactor import Reactor
 
 log = logging.getLogger("gradefront.backend_connection")
@@ -143,10 +143,11 @@
             self._on_response(line, verb)
             return
         if line.startswith(b"LOAD "):
-            try:
-                attempt.on_load_report(float(line[5:]))
-            except ValueError:
+            load = parse_load(line)
+            if load is None:
                 self.count_invalid("sent a LOAD line without a valid number")
+            else:
+                attempt.on_load_report(load)
         else:
             attempt.on_message_received()
             if line == b"MOVE":
--- a/gradefront/net/lines.py
+++ b/gradefront/net/lines.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from dataclasses import dataclass
 
@@ -123,6 +124,15 @@
     return RequestLine(line, b"", False)
 
 
+def parse_load(line: bytes) -> float | None:
+    """Return the number in a `LOAD` line; None unless it is finite and at least 0."""
+    try:
+        load = float(line.partition(b" ")[2])
+    except ValueError:
+        return None
+    return load if math.isfinite(load) and load >= 0 else None
+
+
 def parse_load_report(line: bytes) -> LoadReport | None:
     """Parse the load report after the verb of a response. Returns None if it contains no number."""
     values: dict[str, float] = {}
--- a/gradefront/state/form.py
+++ b/gradefront/state/form.py
@@ -18,7 +18,8 @@
 
 VERSION = 1
 MAX_SNAPSHOT_BYTES = 24_576  # over twice the size of two partial lines of the greatest length, in base64
-MAX_TIME_DIFFERENCE_US = 60_000_000  # greatest distance of a time from now; silence is detected long before
+MAX_PARTIAL_LINE = MAX_LINE + 1  # bytes: the longest line and the first half of its CRLF
+MAX_CLOCK_DIFFERENCE_US = 60_000_000  # by which the sender's clock may be ahead; a time may be any time ago
 
 #: Field of `ConnectionSnapshot` for each stored name.
 STORED_NAMES = {
@@ -101,10 +102,7 @@
         raise SnapshotError(f"malformed snapshot: {error!r}") from None
     _check_types(snapshot)
     for name, time_us in _times(snapshot):
-        if (
-            not isinstance(time_us, int)
-            or not now_us - MAX_TIME_DIFFERENCE_US <= time_us <= now_us + MAX_TIME_DIFFERENCE_US
-        ):
+        if type(time_us) is not int or not 0 <= time_us <= now_us + MAX_CLOCK_DIFFERENCE_US:
             raise SnapshotError(f"time out of range: {time_us!r}", name)
     return snapshot
 
@@ -119,7 +117,7 @@
         raise SnapshotError(f"version is {version!r}, expected {VERSION}", "version")
     for name in STORED_BYTES:
         stored[name] = base64.b64decode(stored[name], validate=True)
-        if len(stored[name]) > MAX_LINE:
+        if len(stored[name]) > MAX_PARTIAL_LINE:
             raise SnapshotError(f"{name}: {len(stored[name])} bytes, longer than a line may be", name)
     stored["asked_us"] = tuple(stored["asked_us"])
     if unknown := stored.keys() - STORED_NAMES.keys():
