Make room for connections that are handed over to a process without descriptors

Cause: the new process let clients without a request take all descriptors.

Change: before it reads a message, the receiver makes sure that the four descriptors that it takes are free. If not, it answers the oldest clients without a request BUSY, closes them, and reads on before others are accepted; what can't be freed is waited for. The same before it accepts a sender. Logged and counted (handover_waits).

Why it works: no message is read that the kernel would have to cut short, and freed descriptors go to the handover first.

--- a/gradefront/net/client_protocol.py
+++ b/gradefront/net/client_protocol.py
@@ -256,14 +256,20 @@
         self.core.counters.count_fault(
             "accept_errors", f"accept failed on the client listener: {error}", self.core.clock()
         )
-        if (
-            error.errno != errno.EMFILE
-            or self.closing.free_descriptor()
-            or self.closing_upstreams.free_descriptor()
-            or not self.pre_request
-        ):
-            return
+        if error.errno == errno.EMFILE:
+            self.free_descriptor()
+
+    def free_descriptor(self) -> bool:
+        """Free the least needed descriptor, in two calls if its client has not been answered yet.
+
+        A descriptor is free in the next iteration of the event loop. Returns False if all are needed.
+        """
+        if self.closing.free_descriptor() or self.closing_upstreams.free_descriptor():
+            return True
+        if not self.pre_request:
+            return False
         next(iter(self.pre_request)).free_descriptor()
+        return True
 
     def reject_pre_request(self) -> None:
         """Reject all connections without a request, because the relay exits."""
--- a/gradefront/net/descriptor_budget.py
+++ b/gradefront/net/descriptor_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass
 
 RESERVED_DESCRIPTORS = 48  # never used for clients: endpoint list, health checks, listeners, the platform's own
@@ -28,3 +29,17 @@
     def for_connections(self) -> int:
         """Limit above which new connections are rejected at once. Keeps the rest for established ones."""
         return self.total - RESERVED_DESCRIPTORS // 2
+
+
+def count_missing_descriptors(needed: int, fd: int) -> int:
+    """Return how many of `needed` descriptors this process could not open now; `fd` is any open one."""
+    duplicates: list[int] = []
+    try:
+        while len(duplicates) < needed:
+            duplicates.append(os.dup(fd))
+    except OSError:
+        return needed - len(duplicates)
+    finally:
+        for duplicate in duplicates:
+            os.close(duplicate)
+    return 0
--- a/gradefront/state/handover_receiver.py
+++ b/gradefront/state/handover_receiver.py
@@ -11,6 +11,7 @@
 
 from gradefront.core.relay import RelayCore
 from gradefront.net.client_protocol import ClientProtocolFactory
+from gradefront.net.descriptor_budget import count_missing_descriptors
 from gradefront.net.reactor import Reactor
 
 from .adoption import SOCKETS_PER_CONNECTION, Adopter, AdoptionError
@@ -21,9 +22,13 @@
 log = logging.getLogger("gradefront.handover")
 
 MAX_MESSAGES = 16  # read from one sender per event
-MAX_LAST_READS = 64  # reads of MAX_MESSAGES each at close; more messages than a socket buffer holds
+MAX_LAST_MESSAGES = 1_024  # read from one sender at close; more than the kernel queues
 MAX_MESSAGE_BYTES = MAX_HEADER_BYTES + MAX_SNAPSHOT_BYTES
 ANSWER_RETRY_S = 0.01
+#: Needed to read a message: for its sockets, and for the reactor's duplicates. What does not fit, the kernel closes.
+DESCRIPTORS_PER_MESSAGE = 2 * SOCKETS_PER_CONNECTION
+CALLS_PER_DESCRIPTOR = 2  # of `free_descriptor`: one answers a client, the next closes its connection
+DESCRIPTOR_RETRY_S = 0.02  # if no descriptor can be freed
 
 
 class _SenderConnection:
@@ -43,28 +48,40 @@
         return "handover"
 
     def doRead(self) -> None:
-        """Read up to MAX_MESSAGES messages, each a complete snapshot with its sockets."""
+        """Read up to MAX_MESSAGES messages, while there are descriptors for their sockets."""
         for _ in range(MAX_MESSAGES):
-            try:
-                data, fds, flags, _ = socket.recv_fds(self.sock, MAX_MESSAGE_BYTES, SOCKETS_PER_CONNECTION)
-            except BlockingIOError:
+            if not self.receiver.has_descriptors(self, DESCRIPTORS_PER_MESSAGE) or not self._read_message():
                 return
-            except ConnectionResetError:  # the sender has closed without reading all answers; its messages remain
-                continue
-            except OSError as error:
-                log.warning("handover connection from the previous process failed: %s", error)
-                data, fds, flags = b"", [], 0
-            if not data and not fds:
-                self.receiver.on_sender_done(self)
-                return
-            try:
-                self._on_message(data, fds, bool(flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC)))
-            except Exception:  # a fault must affect this connection only
-                log.exception("adopting a connection failed")
-                self.receiver.core.counters.add("exceptions")
-            finally:
-                for fd in fds:  # the reactor works on duplicates
-                    os.close(fd)
+
+    def resume(self) -> None:
+        """Read on, after waiting for descriptors."""
+        if self in self.receiver.senders:
+            self.receiver.reactor.addReader(self)
+            self.doRead()
+
+    def _read_message(self) -> bool:
+        """Read one message, a complete snapshot with its sockets. Return whether there may be another one."""
+        try:
+            data, fds, flags, _ = socket.recv_fds(self.sock, MAX_MESSAGE_BYTES, SOCKETS_PER_CONNECTION)
+        except BlockingIOError:
+            return False
+        except ConnectionResetError:  # the sender has closed without reading all answers; its messages remain
+            return True
+        except OSError as error:
+            log.warning("handover connection from the previous process failed: %s", error)
+            data, fds, flags = b"", [], 0
+        if not data and not fds:
+            self.receiver.on_sender_done(self)
+            return False
+        try:
+            self._on_message(data, fds, bool(flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC)))
+        except Exception:  # a fault must affect this connection only
+            log.exception("adopting a connection failed")
+            self.receiver.core.counters.add("exceptions")
+        finally:
+            for fd in fds:  # the reactor works on duplicates
+                os.close(fd)
+        return True
 
     def _on_message(self, data: bytes, fds: list[int], is_truncated: bool) -> None:
         message = decode_message(data)
@@ -101,10 +118,9 @@
     def read_last(self) -> None:
         """Refuse further messages, read those already sent, and close."""
         refuse_more(self.sock)
-        for _ in range(MAX_LAST_READS):
-            if self not in self.receiver.senders:
-                return
-            self.doRead()
+        for _ in range(MAX_LAST_MESSAGES):
+            if not self._read_message():
+                break
         self.receiver.on_sender_done(self)
 
     def connectionLost(self, reason: object) -> None:  # noqa: ARG002 - Twisted's signature
@@ -119,6 +135,7 @@
         self, core: RelayCore, client_factory: ClientProtocolFactory, reactor: Reactor, folder: Path
     ) -> None:
         self.core = core
+        self.client_factory = client_factory
         self.reactor = reactor
         self.adopter = Adopter(core, client_factory, reactor)
         self.path = folder / SOCKET_NAME
@@ -174,9 +191,28 @@
 
     def doRead(self) -> None:
         """Accept the queued senders."""
-        if self.listener:
+        if self.listener and self.has_descriptors(self, 1):
             self._accept_waiting(self.listener)
 
+    def resume(self) -> None:
+        """Accept senders again, after waiting for a descriptor."""
+        if self.listener:
+            self.reactor.addReader(self)
+            self.doRead()
+
+    def has_descriptors(self, reader: _SenderConnection | HandoverReceiver, needed: int) -> bool:
+        """Return whether so many descriptors are free. If not, free some, and let `reader` wait for them."""
+        missing = count_missing_descriptors(needed, reader.fileno())
+        if not missing:
+            return True
+        self.core.counters.count_fault(
+            "handover_waits", "a handover waits for free file descriptors", self.core.clock()
+        )
+        freed = [self.client_factory.free_descriptor() for _ in range(CALLS_PER_DESCRIPTOR * missing)]
+        self.reactor.removeReader(reader)
+        self.reactor.callLater(0 if any(freed) else DESCRIPTOR_RETRY_S, reader.resume)
+        return False
+
     def _accept_waiting(self, listener: socket.socket) -> None:
         with suppress(OSError):  # the queue is empty
             while True:
