Withhold repetitions of a QUIC request that may not be executed twice

Callers would have seen: a request of an unsafe class executed again by a process that was started at its backend's address after the one that took it had died.

Cause: the relay forwards each repetition of a client's Initial to the backend's address, and can't tell whether the same process still answers.

Change: a datagram that only repeats parts of the ClientHello which the attempt has sent is forwarded only if the request may be executed again: its class is idempotent, or keyed and within its window. Else it is dropped and counted (quic_dropped_repeated). A datagram with a part that is missing yet is forwarded: without it nobody can have executed the request.

Price: if the first datagram is lost on its way to the backend, such a request times out and is answered ERR.

--- a/gradefront/core/connection.py
+++ b/gradefront/core/connection.py
@@ -157,11 +157,13 @@
         Checked just before the request is written: the decision module decides earlier, and the deduplication window
         may end while the connection to the backend is being established.
         """
-        if not self.first_sent_us:
-            return True
+        return not self.first_sent_us or self.may_repeat(self.first_sent_us, now_us)
+
+    def may_repeat(self, sent_us: int, now_us: int) -> bool:
+        """Return whether a request that was sent at `sent_us`, and may have been executed, may be executed again."""
         rule = self.settings.classes[self.connect_request.request_class]
         if rule.idempotency is Idempotency.KEYED:
-            return now_us < self.first_sent_us + rule.dedup_window_us
+            return now_us < sent_us + rule.dedup_window_us
         return rule.idempotency is Idempotency.IDEMPOTENT
 
     def transition(self, to: ConnectionState) -> None:
@@ -235,6 +237,14 @@
             core.on_client_closed(connection, ConnectionEnd.ORDERLY)
         return Cause.ABORTED_BEFORE_SEND if self.is_over else None
 
+    def may_send_again(self) -> bool:
+        """Return whether a request that has been sent in this attempt may be sent in it once more.
+
+        For a wire on which the relay does not notice that another process has taken the backend's place.
+        """
+        sent_us = self.connection.first_sent_us or self.write_started_us
+        return self.connection.may_repeat(sent_us, self.core.clock())
+
     def _is_slot_over(self) -> bool:
         """Return whether the send slot ended before the request was sent.
 
--- a/gradefront/quic/connections.py
+++ b/gradefront/quic/connections.py
@@ -219,8 +219,10 @@
 
     def send(self, datagram: ClientDatagram, client: Address) -> None:
         """Send a datagram to the backend unless vetoed: a retransmission must not open a connection at a backend
-        that has begun to drain."""
-        if self.attempt.send_veto() is None:
+        that has begun to drain, nor execute the request at a process that has been started at its address since."""
+        if self.sent.covers(datagram) and not self.attempt.may_send_again():
+            self.front.count_drop("repeated")
+        elif self.attempt.send_veto() is None:
             self.attempt.advance(AttemptPhase.WRITING)
             path = self.front.get_path(client, self.attempt.backend, self.owner, self.owner.listener)
             if path and path.send(datagram.data):
--- a/gradefront/quic/sent_hello.py
+++ b/gradefront/quic/sent_hello.py
@@ -28,18 +28,19 @@
 
 
 class SentHello:
-    """The datagrams that one attempt has sent to its backend."""
+    """The datagrams that one attempt has sent to its backend, up to MAX_TRACKED_DATAGRAMS.
+
+    Beyond that limit nothing is proven, and each further part counts as a repetition.
+    """
 
     def __init__(self) -> None:
-        self.has_repetition = False  # a part was sent twice, or there were too many datagrams to track
+        self.has_repetition = False  # a part was sent twice
         self._parts: list[range] = []
         self._quotes: dict[bytes, bool] = {}  # start of each datagram, and whether it contains a part
 
     def add(self, datagram: ClientDatagram) -> None:
         """Record a datagram that was sent."""
-        if len(self._quotes) >= MAX_TRACKED_DATAGRAMS:
-            self.has_repetition = True
-        if self.has_repetition:
+        if self._is_full:
             return
         if any(_overlap(part, sent) for part in datagram.hello_parts for sent in self._parts):
             self.has_repetition = True
@@ -49,20 +50,28 @@
         self._quotes[quote] = bool(datagram.hello_parts) and self._quotes.get(quote, True)
 
     def covers(self, datagram: ClientDatagram) -> bool:
-        """Return whether all parts of the ClientHello in a datagram, at least one, have been sent already."""
-        return bool(datagram.hello_parts) and all(
-            any(sent.start <= part.start and part.stop <= sent.stop for sent in self._parts)
-            for part in datagram.hello_parts
-        )
+        """Return whether a datagram has parts of the ClientHello, and all of them have been sent already."""
+        return bool(datagram.hello_parts) and (self._is_full or all(map(self._is_sent, datagram.hello_parts)))
+
+    @property
+    def _is_full(self) -> bool:
+        return len(self._quotes) >= MAX_TRACKED_DATAGRAMS
+
+    def _is_sent(self, part: range) -> bool:
+        start = part.start
+        for sent in sorted(self._parts, key=lambda sent: sent.start):
+            if sent.start <= start < sent.stop:
+                start = sent.stop
+        return start >= part.stop
 
     def may_include(self, quote: bytes) -> bool:
         """Return whether the datagram that begins with `quote` may be one of those sent."""
-        return self.has_repetition or any(sent.startswith(quote) for sent in self._quotes)
+        return self._is_full or any(sent.startswith(quote) for sent in self._quotes)
 
     def refusal_proves_not_executed(self, quote: bytes) -> bool:
         """Return whether the refusal of the datagram that begins with `quote` (empty: unknown) proves that no backend
         has executed the request."""
-        if self.has_repetition or not quote:
+        if self.has_repetition or self._is_full or not quote:
             return False
         return any(has_part and sent.startswith(quote) for sent, has_part in self._quotes.items())
 
--- a/tests/test_quic_repeated_initial.py
+++ b/tests/test_quic_repeated_initial.py
@@ -9,17 +9,19 @@
 import os
 import socket
 from collections.abc import Iterator
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from balancer.actions import StartAttempt
 from balancer.events import NEVER_EXECUTED, AttemptResult
+from balancer.settings import Idempotency
 from gradefront.quic import config as quic_config
 from gradefront.quic.front import QuicFront
 from gradefront.quic.initials import close_initial, seal_initial
 
-from .helper import Bench
+from .helper import CLASS, SETTINGS, Bench
 from .test_quic_model import CONFIG, Reactor, read_all, udp_socket
 
 INITIAL_LENGTH = 1_160
@@ -32,8 +34,8 @@
 class Request:
     """A client's request, whose first Initial has reached the front, and the attempt for it at the one backend."""
 
-    def __init__(self, *payloads: bytes) -> None:
-        self.bench = Bench()
+    def __init__(self, *payloads: bytes, **class_rules: Any) -> None:
+        self.bench = Bench(replace(SETTINGS, classes=(replace(CLASS, **class_rules),)))
         self.backend, self.client = udp_socket(), udp_socket()
         self.first_id, self.client_id = os.urandom(8), os.urandom(8)
         reactor: Any = Reactor()
@@ -73,6 +75,14 @@
         self.serve()
         return read_all(self.backend)
 
+    def restart_backend(self) -> None:
+        """Let another process take the backend's place at its address."""
+        address = self.backend.getsockname()
+        self.backend.close()
+        self.backend = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.backend.bind(address)
+        self.backend.setblocking(False)
+
     def kill_backend(self) -> None:
         """Close the backend's socket: further datagrams to it are refused by the kernel."""
         self.backend.close()
@@ -93,8 +103,8 @@
 def requests() -> Iterator[Any]:
     made: list[Request] = []
 
-    def make(*payloads: bytes) -> Request:
-        made.append(Request(*payloads))
+    def make(*payloads: bytes, **class_rules: Any) -> Request:
+        made.append(Request(*payloads, **class_rules))
         return made[-1]
 
     yield make
@@ -199,3 +209,34 @@
     assert taken.result() is None
     upstream.on_refused(other[:64], is_shared=False)
     assert taken.result() is AttemptResult.RESET
+
+
+@pytest.mark.parametrize(
+    ("rules", "waited_us", "is_sent"),
+    [
+        ({"idempotency": Idempotency.IDEMPOTENT}, 900_000, True),
+        ({"idempotency": Idempotency.NOT_IDEMPOTENT}, 0, False),
+        ({"idempotency": Idempotency.KEYED, "dedup_window_us": 500_000}, 400_000, True),
+        ({"idempotency": Idempotency.KEYED, "dedup_window_us": 500_000}, 600_000, False),
+    ],
+)
+@pytest.mark.parametrize("payloads", [(HELLO,), (HELLO_START, HELLO_REST)], ids=["whole", "in parts"])
+def test_a_backend_gets_a_repetition_only_if_the_request_may_be_executed_again(
+    requests: Any, payloads: tuple[bytes, ...], rules: dict[str, Any], waited_us: int, is_sent: bool
+) -> None:
+    """Guards against a second execution by a process that was started at the address of the one that had died."""
+    request = requests(*payloads, **rules)
+    assert len(request.start_attempt()) == len(payloads)
+    request.restart_backend()
+    request.bench.wait(waited_us)
+    request.send(HELLO)
+    assert bool(read_all(request.backend)) is is_sent
+
+
+def test_a_missing_part_is_sent_also_with_parts_that_were_sent_before(requests: Any) -> None:
+    request = requests(HELLO_START, idempotency=Idempotency.NOT_IDEMPOTENT)
+    assert len(request.start_attempt()) == 1
+    request.send(HELLO)
+    assert len(read_all(request.backend)) == 1
+    request.send(HELLO_REST)
+    assert not read_all(request.backend)
