Read the parts of a ClientHello in all packets of a client's first datagram

Need: what was sent of a ClientHello decides whether a repetition is withheld and what a refusal proves. Of the first datagram only the first Initial was read, so that a repetition of a second one in it was forwarded, which could execute a request of an unsafe class again; the class by server name or protocol missed it too.

Change: the CRYPTO frames of all Initials in the first datagram are read, as they are in later datagrams.

--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -162,6 +162,10 @@
         if opened is None or opened.close_code is not None:
             self._on_stray_initial(listener, first, opened, datagram, client)
             return
+        for packet in packets[1:]:
+            coalesced = self._open(packet, first.to_id) if packet.kind is Kind.INITIAL else None
+            if coalesced:
+                opened = opened._replace(crypto=opened.crypto + coalesced.crypto)
         owner = self._create_connection(listener, packets, opened, datagram, client)
         if token_check:
             owner.used_retry = bool(token_check.first_id)
@@ -199,6 +203,7 @@
     def _create_connection(
         self, listener: Listener, packets: list[Packet], opened: InitialPayload, datagram: bytes, client: Address
     ) -> QuicClientConnection:
+        """Create a connection and submit its request; `opened` has the CRYPTO frames of the whole datagram."""
         first = packets[0]
         network = self.quic.limits.prefixes.network_of(client[0])
         owner = QuicClientConnection(self, listener, client, first.to_id, first.from_id, first.version, network)
--- a/tests/test_quic_repeated_initial.py
+++ b/tests/test_quic_repeated_initial.py
@@ -17,6 +17,7 @@
 from balancer.actions import StartAttempt
 from balancer.events import NEVER_EXECUTED, AttemptResult
 from balancer.settings import Idempotency
+from gradefront.core.connection import Connection
 from gradefront.quic import config as quic_config
 from gradefront.quic.front import QuicFront
 from gradefront.quic.initials import close_initial, seal_initial
@@ -43,7 +44,12 @@
         self.hub = reactor.hub
         for payload in payloads:
             self.send(payload)
-        (self.connection,) = self.bench.core.connections.values()
+
+    @property
+    def connection(self) -> Connection:
+        """The request's connection in the core."""
+        (connection,) = self.bench.core.connections.values()
+        return connection
 
     def _document(self) -> dict[str, Any]:
         address = f"127.0.0.1:{self.backend.getsockname()[1]}"
@@ -55,12 +61,14 @@
             "boxes": {"box-1": {"server_id": "0001", "reset_key": "00", "address": address}},
         }
 
-    def send(self, payload: bytes) -> None:
-        """Send an Initial with this payload to the front, and let the front handle it."""
-        initial = seal_initial(
-            1, self.first_id, self.first_id, self.client_id, payload.ljust(INITIAL_LENGTH, b"\0"), True
-        )
-        self.client.sendto(initial, self.front.listeners[0].address)
+    def send(self, *payloads: bytes) -> None:
+        """Send a datagram to the front, with an Initial for each payload, and let the front handle it."""
+        initials = [
+            seal_initial(1, self.first_id, self.first_id, self.client_id, payload, True) for payload in payloads[:-1]
+        ]
+        padded = payloads[-1].ljust(INITIAL_LENGTH, b"\0")
+        initials.append(seal_initial(1, self.first_id, self.first_id, self.client_id, padded, True))
+        self.client.sendto(b"".join(initials), self.front.listeners[0].address)
         self.serve()
 
     def serve(self) -> None:
@@ -240,3 +248,12 @@
     assert len(read_all(request.backend)) == 1
     request.send(HELLO_REST)
     assert not read_all(request.backend)
+
+
+def test_the_parts_in_all_packets_of_the_first_datagram_count(requests: Any) -> None:
+    """Guards against a second execution where a client divides its ClientHello among the packets of a datagram."""
+    request = requests(idempotency=Idempotency.NOT_IDEMPOTENT)
+    request.send(HELLO_START, HELLO_REST)
+    assert len(request.start_attempt()) == 1
+    request.send(HELLO_START, HELLO_REST)
+    assert not read_all(request.backend)
