--- a/tests/test_quic_repeated_initial.py
+++ b/tests/test_quic_repeated_initial.py
@@ -21,6 +21,7 @@
 from gradefront.quic import config as quic_config
 from gradefront.quic.front import QuicFront
 from gradefront.quic.initials import close_initial, seal_initial
+from gradefront.quic.paths import Path
 
 from .helper import CLASS, SETTINGS, Bench
 from .test_quic_model import CONFIG, Reactor, read_all, udp_socket
@@ -149,6 +150,23 @@
     assert request.result() is AttemptResult.RESET
 
 
+def test_a_refusal_during_the_first_burst_does_not_prove_that_the_request_was_not_executed(
+    requests: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second execution where a backend takes the request and dies before the rest of the burst."""
+    request = requests(HELLO, NO_CRYPTO, NO_CRYPTO * 2)
+    send = Path.send
+
+    def send_and_kill(path: Path, datagram: bytes) -> bool:
+        is_sent = send(path, datagram)
+        request.kill_backend()
+        return is_sent
+
+    monkeypatch.setattr(Path, "send", send_and_kill)
+    request.bench.run_actions(StartAttempt(request.connection.number, "box-1", 1_000_000))
+    assert request.result() is AttemptResult.RESET
+
+
 def test_parts_that_overlap_in_one_attempt_count_as_repeated(requests: Any) -> None:
     """Guards against a second execution where a client divides its ClientHello anew as it repeats it."""
     request = requests(HELLO_START, HELLO)
