End soak runs whose fault loops lost their cancellation

The trace shows the signalling loop in a wait of at most 40 s, begun long after its cancellation. asyncio.wait_for of Python 3.11 swallows a cancellation that arrives as its awaitable completes, and the loop went on for ever.

The loops of faults and clients also end by a flag.

The program is unchanged.

--- a/benchmarks/quic_flood.py
+++ b/benchmarks/quic_flood.py
@@ -18,6 +18,7 @@
 
 from lab.quic import Device, QuicBackend, file_of
 from lab.stand_ins import Discovery, program, settings, soon
+from lab.waiting import within
 
 IN_TIME_S = 0.5  # longest set-up time that counts as in time
 HONEST_DEVICES = 60
@@ -42,7 +43,7 @@
     began = time.monotonic()
     await device.start()
     try:
-        await asyncio.wait_for(device.ask("hello"), timeout_s)
+        await within(timeout_s, device.ask("hello"))
         return time.monotonic() - began
     except TimeoutError:
         return timeout_s
--- a/lab/conform/__init__.py
+++ b/lab/conform/__init__.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import time
 import traceback
@@ -15,6 +14,8 @@
 from pathlib import Path
 from typing import Any
 
+from ..waiting import within
+
 CASE_TIMEOUT_S = 20.0  # guards only against a case that hangs
 
 
@@ -99,7 +100,7 @@
     """
     started = time.monotonic()
     try:
-        await asyncio.wait_for(case.run(place), CASE_TIMEOUT_S)
+        await within(CASE_TIMEOUT_S, case.run(place))
     except AssertionError as error:
         frame = traceback.extract_tb(error.__traceback__)[-1]
         return Verdict(case, False, str(error).partition("\n")[0] or f"{frame.line}", time.monotonic() - started)
--- a/lab/conform/cases_paths.py
+++ b/lab/conform/cases_paths.py
@@ -15,6 +15,7 @@
 
 from ..link import Impairment, Link
 from ..quic import Device
+from ..waiting import within
 from .quic import (
     RESET_KEY,
     Client,
@@ -122,7 +123,7 @@
     backend.wire.sendto(b"\x40" + client.client_id + b"to the new one", new)
     assert await probe.receive() == b"\x40" + client.client_id + b"to the new one"
     backend.wire.sendto(b"\x40" + client.client_id + b"to the old one", addr)
-    assert await asyncio.wait_for(old.get(), 5) == b"\x40" + client.client_id + b"to the old one"
+    assert await within(5, old.get()) == b"\x40" + client.client_id + b"to the old one"
 
 
 @case("RFC 9000 9.1", "A second path is probed while the first one is in use; neither is disturbed")
@@ -226,7 +227,7 @@
         while True:
             probe.send_short(backend.new_id())
             try:
-                await asyncio.wait_for(place.inbox.get(), 0.1)
+                await within(0.1, place.inbox.get())
                 break
             except TimeoutError:
                 continue
--- a/lab/conform/quic.py
+++ b/lab/conform/quic.py
@@ -24,6 +24,7 @@
 
 from ..quic import QuicBackend, file_of
 from ..stand_ins import Discovery, Program, program, settings
+from ..waiting import within
 from . import Suite, Verdict, judge, write
 from .raw_backend import FORMS, PLAIN, RawBackend, Where, serve
 
@@ -96,7 +97,7 @@
 
     async def receive(self) -> bytes:
         """Return the next datagram; raise TimeoutError after RECEIVE_TIMEOUT_S."""
-        return await asyncio.wait_for(self.received.get(), RECEIVE_TIMEOUT_S)
+        return await within(RECEIVE_TIMEOUT_S, self.received.get())
 
     async def packet(self) -> Packet:
         """Return the first packet of the next datagram."""
@@ -168,7 +169,7 @@
 
     async def reached(self) -> tuple[RawBackend, bytes, Where]:
         """Return the next datagram that reached a backend, with that backend and the sender's address."""
-        return await asyncio.wait_for(self.inbox.get(), RECEIVE_TIMEOUT_S)
+        return await within(RECEIVE_TIMEOUT_S, self.inbox.get())
 
     def nothing_reached(self) -> None:
         assert self.inbox.empty(), "a datagram reached a backend although none may"
@@ -295,7 +296,7 @@
         }
     with tempfile.TemporaryDirectory() as folder:
         async with program(Path(folder), discovery, settings(objective_ms=150, deadline_ms=1200), file) as relay:
-            await asyncio.wait_for(discovery.asked.wait(), RECEIVE_TIMEOUT_S)
+            await within(RECEIVE_TIMEOUT_S, discovery.asked.wait())
             await relay.line("endpoint list from")
             place.relay = relay
             place.front = ("127.0.0.1", relay.ports[1])
--- a/lab/crowd.py
+++ b/lab/crowd.py
@@ -21,6 +21,7 @@
 from .fault_proxy import FaultProxy, Faults
 from .slow_start_oracle import Fall, SlowStartRules, WarmingBackend, WarmUp
 from .stand_ins import BUSY_S, HANG_TIMEOUT_S, Discovery, LineDevice, Program, program, settings
+from .waiting import within
 
 OBJECTIVE_MS, DEADLINE_MS = 800, 4800
 POLL_S = 0.02  # interval between two checks of a condition
@@ -115,6 +116,7 @@
         self.killed_relays: set[int] = set()  # ports of processes that were killed without SIGTERM
         self.signalled_s: dict[int, float] = {}  # by port: monotonic time of the first signal that ends the process
         self.violations: list[str] = []  # descriptions of guarantees to clients that relays broke
+        self.is_ending = False  # ends the loops of clients and faults, even if one of them misses its cancellation
 
     async def __aenter__(self) -> Fleet:
         scene = self.scene
@@ -126,6 +128,7 @@
         return self
 
     async def __aexit__(self, *exception: object) -> None:
+        self.is_ending = True
         running = set(self.clients)
         while running:  # repeated, because an await that completes at that moment may swallow the cancellation
             for client in running:
@@ -208,7 +211,7 @@
             self._pause_while_stopping(relay)
         senders = [asyncio.ensure_future(_send_delayed_signal(relay, delayed)) for delayed in delayed_signals]
         try:
-            status = await asyncio.wait_for(relay.process.wait(), kill_after_s)
+            status = await within(kill_after_s, relay.process.wait())
             if signal_number is signal.SIGTERM and status:
                 self.violations.append(f"{name} ended with status {status} after SIGTERM, expected 0")
         except TimeoutError:
@@ -237,7 +240,7 @@
 
     async def _client(self, wait_s: float) -> None:
         is_reconnect = False
-        while True:
+        while not self.is_ending:
             await asyncio.sleep(wait_s)
             wait_s = self.random.uniform(*RECONNECT_S)
             if not self.ports:
--- a/lab/quic.py
+++ b/lab/quic.py
@@ -27,6 +27,7 @@
 from gradefront.quic.tokens import TokenKey, TokenMint
 
 from .stand_ins import BUSY_S, soon
+from .waiting import within
 
 FORM = IdForm(0, 2, 9)
 KEY = bytes(range(16))
@@ -294,7 +295,7 @@
             # sides, could add up to more than the backend may send to an address that it has not validated
             # (RFC 9000 8.1), and the backend would stall.
             with suppress(TimeoutError):
-                await asyncio.wait_for(self.all_acknowledged.wait(), BUSY_S)
+                await within(BUSY_S, self.all_acknowledged.wait())
         old = self.wire
         self.wire, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: self, local_addr=("127.0.0.1", 0)
--- a/lab/soak.py
+++ b/lab/soak.py
@@ -21,6 +21,7 @@
 from .crowd import DEADLINE_MS, DelayedSignal, Fleet, Scene
 from .fault_proxy import Faults
 from .slow_start_oracle import SlowStartRules
+from .waiting import within
 
 RUN_S = 8.0  # measured from when the first clients are served
 SIGNALS = (signal.SIGTERM, signal.SIGKILL, signal.SIGHUP)
@@ -110,7 +111,7 @@
 
 async def _send_signals(fleet: Fleet, random: Random) -> None:
     """Signal one random relay after another. After a signal that ends a relay, wait for its restart."""
-    while True:
+    while not fleet.is_ending:
         await asyncio.sleep(random.uniform(0.1, 0.8))
         name, signal_number = random.choice(sorted(fleet.relays)), random.choice(SIGNALS)
         if signal_number is signal.SIGHUP:
@@ -121,7 +122,7 @@
 
 async def _send_signals_in_series(fleet: Fleet, random: Random) -> None:
     """Repeatedly end several relays at the same time. Each receives further signals while it shuts down."""
-    while True:
+    while not fleet.is_ending:
         await asyncio.sleep(random.uniform(0.1, 0.8))
         names = random.sample(sorted(fleet.relays), random.randint(1, max(1, len(fleet.relays) // 2)))
         await asyncio.gather(*(_end_with_signals(fleet, name, random) for name in names))
@@ -143,7 +144,7 @@
 async def _restart_backends(fleet: Fleet, random: Random) -> None:
     """Repeatedly kill several warm backends at the same time, and restart them under their names."""
     scene = fleet.scene
-    while True:
+    while not fleet.is_ending:
         await asyncio.sleep(random.uniform(0.5, 2.0))
         names = random.sample([f"warm-{n}" for n in range(scene.warm)], random.randint(1, scene.warm // 2))
         for name in names:
@@ -168,6 +169,7 @@
         try:
             await asyncio.sleep(seconds)
         finally:
+            fleet.is_ending = True
             for fault in faults:
                 fault.cancel()
             results = await asyncio.gather(*faults, return_exceptions=True)
@@ -191,7 +193,7 @@
     async def run_seed(seed: int) -> Verdict:
         async with slots:
             with tempfile.TemporaryDirectory() as folder:
-                verdict = await asyncio.wait_for(play(seed, Path(folder)), HANG_TIMEOUT_S)
+                verdict = await within(HANG_TIMEOUT_S, play(seed, Path(folder)))
         print(verdict, *verdict.stop_log, sep="\n    ", flush=True)
         return verdict
 
--- a/lab/stand_ins.py
+++ b/lab/stand_ins.py
@@ -19,6 +19,8 @@
 from pathlib import Path
 from typing import Any
 
+from .waiting import within
+
 CHECKOUT = Path(__file__).resolve().parent.parent
 BUSY_S = 0.5  # allowance in measured times for delays by other load on the machine
 HANG_TIMEOUT_S = 40.0  # only ends a test that hangs; no test's result depends on this value
@@ -62,7 +64,7 @@
 
 async def soon(awaitable: Any) -> Any:
     """Await an awaitable and return its result. Raises TimeoutError after HANG_TIMEOUT_S."""
-    return await asyncio.wait_for(awaitable, HANG_TIMEOUT_S)
+    return await within(HANG_TIMEOUT_S, awaitable)
 
 
 class Discovery:
--- a/tests/test_lost_processes.py
+++ b/tests/test_lost_processes.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 
 from lab.stand_ins import BUSY_S, Discovery, LineDevice, Program, StandInBackend, program, settings, soon
+from lab.waiting import within
 
 CLIENTS, REQUESTS = 12, 12  # concurrent clients, and requests of each
 TIMEOUT_MS = 1500
@@ -170,7 +171,7 @@
             await relays.restart("n2", signal.SIGTERM)
             await soon(clients.until(90))
             await relays.restart("n0", signal.SIGTERM)
-            await asyncio.wait_for(running, 120)
+            await within(120, running)
             assert sum(clients.answers.values()) == CLIENTS * REQUESTS, clients.answers
             assert clients.answers["UP"] > CLIENTS * REQUESTS / 2, clients.answers
             arrivals = [entry for backend in backends for entry in backend.arrivals]
--- a/tests/test_quic_recovery.py
+++ b/tests/test_quic_recovery.py
@@ -22,6 +22,7 @@
 from lab.flood import Forge
 from lab.quic import file_of
 from lab.stand_ins import Discovery, program, settings, soon
+from lab.waiting import within
 
 OLD = IdForm(0, 2, 9, True, bytes(range(16)))
 NEW = IdForm(3, 2, 12, True, bytes(range(16, 32)))
@@ -66,7 +67,7 @@
         deadline = time.monotonic() + timeout_s
         while (remaining_s := deadline - time.monotonic()) > 0:
             try:
-                answer = await asyncio.wait_for(self.received.get(), remaining_s)
+                answer = await within(remaining_s, self.received.get())
             except TimeoutError:
                 return False
             if answer[1:13] == message_id:
@@ -104,7 +105,7 @@
     client = EchoClient(place)
     await client.open()
     client.send(client.initial())
-    packet = split(await asyncio.wait_for(client.received.get(), 5))[0]
+    packet = split(await within(5, client.received.get()))[0]
     assert packet.kind is Kind.INITIAL
     client.connection_id = packet.from_id
     server = OLD.read(client.connection_id)
