Go on with a planned stop although a step on one connection raises

Change: core/containment.py runs a step, logs its exception with the number of the connection and counts it. The loops of Lifecycle, the steps of Shutdown, the rejection of clients without a request, and resuming and releasing in HandoverSender use it. If one side of a connection raises, the other is ended nevertheless.

--- a/gradefront/core/answers.py
+++ b/gradefront/core/answers.py
@@ -42,8 +42,13 @@
             return
         was_established, attempt = connection.state is ConnectionState.ESTABLISHED, connection.attempt
         self.release(connection)
-        if attempt:  # only when the core itself decides on the answer: the module answers with no attempt in flight
-            self._cancel(attempt)
+        try:
+            if attempt:  # only when the core itself decides: the module answers with no attempt in flight
+                self._cancel(attempt)
+        finally:
+            self._tell_client(connection, answer, was_established)
+
+    def _tell_client(self, connection: Connection, answer: Reject | Fail | None, was_established: bool) -> None:
         if was_established:
             connection.client.migrate()
         elif isinstance(answer, Reject):
@@ -88,8 +93,10 @@
             return
         self.release(connection)
         self.core.counters.add("moved")
-        connection.client.migrate()
-        self._cancel(attempt)
+        try:
+            connection.client.migrate()
+        finally:
+            self._cancel(attempt)
 
     def migrate_off_silent(self, connection: Connection, alone: bool) -> None:
         """Migrate a connection off a backend that does not reply to its messages.
--- a/gradefront/core/lifecycle.py
+++ b/gradefront/core/lifecycle.py
@@ -16,6 +16,8 @@
 from .answers import Answers
 from .backends import Backends
 from .connection import Connection, ConnectionState
+from .containment import run_contained
+from .counters import Counters
 from .lifecycle_state import LifecycleEvent, LifecycleState, next_state
 from .timer_wheel import Timer
 
@@ -45,6 +47,7 @@
     connections: dict[int, Connection]
     backends: Backends
     answers: Answers
+    counters: Counters
     clock: Callable[[], int]
 
     def call_later(self, delay_us: int, callback: Callable[[], None]) -> Timer:
@@ -181,7 +184,7 @@
         remaining_us = max(MIGRATION_STEP_US, end_us - self.core.clock())
         batch_size = -(-len(established) * MIGRATION_STEP_US // remaining_us)
         for connection in established[:batch_size]:
-            self.core.migrate(connection)
+            self._end(connection, self.core.migrate)
         remaining = len(established) - batch_size
         pause_us = max(MIGRATION_STEP_US, remaining_us // (remaining + 1) if remaining > 0 else 0)
         self.core.call_later(pause_us, partial(self._migrate_batch, token, end_us))
@@ -192,10 +195,15 @@
             return
         for connection in list(self.core.connections.values()):
             if connection.state is not ConnectionState.ESTABLISHED:
-                # A rejection invites a retry, which must not execute a request twice.
-                self.core.answers.answer(
-                    connection, Reject(connection.number) if connection.may_be_rejected else None
-                )
+                self._end(connection, self._answer)
+
+    def _answer(self, connection: Connection) -> None:
+        # A rejection invites a retry, which must not execute a request twice.
+        self.core.answers.answer(connection, Reject(connection.number) if connection.may_be_rejected else None)
+
+    def _end(self, connection: Connection, end: Callable[[Connection], None]) -> None:
+        """Apply `end` to a connection. An exception concerns only this connection; the others must still be ended."""
+        run_contained(self.core.counters, f"connection {connection.number}", partial(end, connection))
 
     def stop(self, done: Callable[[], None]) -> None:
         """Answer the remaining requests, migrate the remaining connections, and call `done`.
@@ -206,6 +214,6 @@
             return
         self._answer_waiting(self.drain_token)
         for connection in list(self.core.connections.values()):
-            self.core.migrate(connection)
+            self._end(connection, self.core.migrate)
         self.drain_token = None
         done()
--- a/gradefront/net/client_protocol.py
+++ b/gradefront/net/client_protocol.py
@@ -14,6 +14,7 @@
 
 from gradefront.config import Config
 from gradefront.core.connection import BackendConnector, Connection
+from gradefront.core.containment import run_contained
 from gradefront.core.ports import BackendConnection, ConnectionEnd
 from gradefront.core.relay import RelayCore
 
@@ -274,7 +275,7 @@
     def reject_pre_request(self) -> None:
         """Reject all connections without a request, because the relay exits."""
         for client in list(self.pre_request):
-            client.free_descriptor()
+            run_contained(self.core.counters, "a client without a request", client.free_descriptor)
 
     def descriptors_held(self) -> int:
         """Return the number of descriptors held for clients: one per client, and one per backend connection.
--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from .core.containment import run_contained
 from .core.lifecycle_state import LifecycleEvent, LifecycleState
 from .listening import ClientListener
 from .net.client_protocol import ClientProtocolFactory
@@ -88,9 +90,6 @@
         """
         due_us = self.core.lifecycle.stop_due_us
         self.timeline.record("last answers", due_us)
-        self.listener.close_handover()
-        if self.fleet:
-            self.fleet.leave()
         # Counted from when this step was due, not from when it ran: a late event loop does not delay SIGKILL.
         began_us = min(due_us, self.core.clock())
         self.core.call_at(
@@ -98,6 +97,9 @@
         )
         self.core.call_at(began_us + STOP_US, self._stop_when_sent)
         self.core.call_at(began_us + FORCED_STOP_US, self._stop)
+        self._run_step(self.listener.close_handover)
+        if self.fleet:
+            self._run_step(self.fleet.leave)
         self._stop_when_closed()
 
     def _drop_new_handshakes(self, reject_pre_request_us: int) -> None:
@@ -115,8 +117,8 @@
             return
         self.pre_request_rejected = True
         self.timeline.record("clients without a request rejected")
-        self.listener.accept_pending_and_close()
-        self.client_factory.reject_pre_request()
+        self._run_step(self.listener.accept_pending_and_close)
+        self._run_step(self.client_factory.reject_pre_request)
 
     def _stop_when_closed(self) -> None:
         """Stop once all peers have closed, so that no close resets data that they have not read yet."""
@@ -142,12 +144,16 @@
                 f" {len(self.client_factory.closing_upstreams)} connections to backends,"
                 f" listener {'open' if port and port.connected else 'closed'}"
             )
-            self.client_factory.closing.close_all()
-            self.client_factory.closing_upstreams.close_all()
-            self.endpoint_watch.close()
-            self._close_admin_interface()
+            self._run_step(self.client_factory.closing.close_all)
+            self._run_step(self.client_factory.closing_upstreams.close_all)
+            self._run_step(self.endpoint_watch.close)
+            self._run_step(self._close_admin_interface)
             self.reactor.stop()
 
+    def _run_step(self, step: Callable[[], object]) -> None:
+        """Run a step of the shutdown. An exception must not keep the process from ending before SIGKILL."""
+        run_contained(self.core.counters, "graceful shutdown", step)
+
     def _close_admin_interface(self) -> None:
         """Answer the commands received so far, after accepting queued callers, which the close would reset."""
         if self.admin_port:
--- a/gradefront/state/handover_sender.py
+++ b/gradefront/state/handover_sender.py
@@ -9,10 +9,13 @@
 
 import logging
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from gradefront.core.adopted import release_for_handover
 from gradefront.core.connection import Connection, ConnectionState
+from gradefront.core.containment import run_contained
 from gradefront.core.relay import RelayCore
 from gradefront.net.backend_connection import BackendProtocol, LineBackendConnection
 from gradefront.net.client_protocol import ClientProtocol, ClientProtocolFactory
@@ -93,7 +96,7 @@
         self.sock = None
         unanswered, self.unanswered = self.unanswered, {}
         for sent in unanswered.values():
-            sent.resume()
+            self._contain(sent, sent.resume)
 
     def _try_send(self, sock: socket.socket, connection: Connection) -> bool:
         """Send one connection. An exception concerns this connection only, which is migrated later."""
@@ -183,12 +186,12 @@
             if sent is None:
                 continue
             if answer.is_adopted:
-                self._release(sent)
+                self._contain(sent, partial(self._release, sent))
             else:
                 log.warning("connection %d was not adopted, serving it on: %s", answer.number, answer.reason)
                 self.not_sendable.add(answer.number)
                 self.core.counters.add("not_given_away")
-                sent.resume()
+                self._contain(sent, sent.resume)
 
     def connectionLost(self, reason: object) -> None:  # noqa: ARG002 - Twisted's signature
         """Handle a broken socket, as detected by the reactor."""
@@ -199,6 +202,10 @@
             log.warning("handover to the newest process failed; no more connections are handed over: %s", error)
             self.close()
 
+    def _contain(self, sent: _SentConnection, step: Callable[[], None]) -> None:
+        """Run a step on one connection, whose exception must not end the handover of the others."""
+        run_contained(self.core.counters, f"connection {sent.connection.number}", step)
+
     def _release(self, sent: _SentConnection) -> None:
         """Release a connection that the receiver has adopted, without closing either side."""
         if not sent.is_established:
