Stop as planned after a replacement was given up

Cause: a process that was killed leaves the name of its handover socket. The process that served on took itself for replaced at its own SIGTERM: it accepted no clients any more, though no other process did.

Change: a process is replaced only if another process listens under the name.

Measured: the regression test got no answer before (TimeoutError after 40 s); now the client is served and migrated, and the next process starts.

--- a/gradefront/state/handover_receiver.py
+++ b/gradefront/state/handover_receiver.py
@@ -17,7 +17,7 @@
 from .adoption import SOCKETS_PER_CONNECTION, Adopter, AdoptionError
 from .form import MAX_SNAPSHOT_BYTES
 from .handover_messages import MAX_HEADER_BYTES, HandoverAnswer, decode_message
-from .handover_sockets import MAX_SENDERS, SOCKET_NAME, is_same_user, listen_as_newest, refuse_more
+from .handover_sockets import MAX_SENDERS, SOCKET_NAME, has_listener, is_same_user, listen_as_newest, refuse_more
 
 log = logging.getLogger("gradefront.handover")
 
@@ -158,25 +158,28 @@
         Unread messages must be processed: closing the handover socket would close the sockets attached to them.
         """
         if self.listener:
-            was_newest = self.is_newest()
+            held_name = self._holds_name()
             self.reactor.removeReader(self)
             refuse_more(self.listener)
             self._accept_waiting(self.listener)
             self.listener.close()
             self.listener = None
-            if was_newest:
+            if held_name:
                 with suppress(OSError):  # a name without a listener is harmless: senders are refused
                     self.path.unlink(missing_ok=True)
         for sender in list(self.senders):
             sender.read_last()
 
     def is_newest(self) -> bool:
-        """Return whether no newer process holds the socket name; True also if that cannot be determined.
+        """Return whether no newer process is running; True also if that cannot be determined.
 
-        Prevents requests in the listen queue from being left to a successor that does not exist.
+        A newer process that has ended without closing, as when a replacement is given up, leaves the socket name
+        without a listener. Prevents requests in the listen queue from being left to a successor that does not exist.
         """
-        if self.listener is None:
-            return True
+        return self.listener is None or self._holds_name() or not has_listener(self.path)
+
+    def _holds_name(self) -> bool:
+        """Return whether the socket name is this process's; True also if that cannot be determined."""
         with suppress(OSError):
             return self.path.stat().st_ino == self.inode
         return True
--- a/gradefront/state/handover_sockets.py
+++ b/gradefront/state/handover_sockets.py
@@ -77,6 +77,19 @@
     return sock
 
 
+def has_listener(path: Path) -> bool:
+    """Return whether a process listens at `path`; True also if that cannot be determined."""
+    try:
+        with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+            sock.settimeout(CONNECT_TIMEOUT_S)
+            sock.connect(str(path))
+    except (ConnectionRefusedError, FileNotFoundError):
+        return False
+    except OSError:
+        return True
+    return True
+
+
 def _bound_path(sock: socket.socket) -> str:
     """Return the path that the listener of a connection was bound to; renaming that path does not change it."""
     address = sock.getpeername()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -290,6 +290,27 @@
     asyncio.run(scenario())
 
 
+def test_a_process_whose_replacement_was_given_up_stops_as_if_none_was_tried(tmp_path: Path) -> None:
+    """Guards against a stop that accepts no clients, because a dead process holds the name of the handover socket."""
+
+    async def scenario() -> None:
+        async with Upgrade(tmp_path) as upgrade:
+            old = await upgrade.start("old")
+            standing = await upgrade.establish(old)
+            given_up = await upgrade.start("new")
+            given_up.process.kill()
+            await given_up.process.wait()
+            old.process.send_signal(signal.SIGTERM)
+            await old.line("leaving: 1 connections to migrate")
+            device = await LineDevice.connect(old.ports[0])
+            device.open(d=4000)
+            assert [await device.line(), await device.line(), await standing.line()] == ["UP r-1", "MOVE", "MOVE"]
+            assert await old.stop() == 0
+            await upgrade.establish(await upgrade.start("next"))
+
+    asyncio.run(scenario())
+
+
 def impostor_of(folder: Path) -> socket.socket:
     """Listen in place of the newest process, as one that answers messages."""
     impostor, _ = listen_as_newest(folder / SOCKET_NAME)
