Accept clients again if the successor is killed during the handover

Cause: a replaced process left the listener to its successor once and for all. If that was killed during the handover, no process accepted clients until the platform had started the next one, 3 s later or more.

Change: when a handover fails, the old process looks whether a process still listens for handovers; if not, it accepts clients until its own end, as in a stop without a successor.

Measured: the regression test (new process stopped by SIGSTOP, then killed) failed before; now a new client is served and all 13 clients are migrated.

--- a/gradefront/listening.py
+++ b/gradefront/listening.py
@@ -62,7 +62,7 @@
     def listen_on_inherited(self) -> None:
         """Accept clients on the inherited listener, concurrently with the process that does so already."""
         assert self.inherited
-        self.port = self.reactor.adoptStreamPort(self.inherited.fileno(), socket.AF_INET, self.client_factory)
+        self.accept_again()
         if "TMPDIR" in os.environ:
             self.handover_receiver = HandoverReceiver(
                 self.client_factory.core, self.client_factory, self.reactor, Path(os.environ["TMPDIR"])
@@ -70,6 +70,11 @@
             self.handover_receiver.open()
         log.info("relay %s accepts clients on inherited descriptor %d", self.relay_name, self.inherited.fileno())
 
+    def accept_again(self) -> None:
+        """Accept clients on the inherited listener, also after `stop`."""
+        if self.inherited:
+            self.port = self.reactor.adoptStreamPort(self.inherited.fileno(), socket.AF_INET, self.client_factory)
+
     def is_replaced(self) -> bool:
         """Whether a newer process may accept the clients that this one leaves in the listen queue."""
         return self.inherited is not None and not (self.handover_receiver and self.handover_receiver.is_newest())
--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -14,7 +14,7 @@
 from .net.endpoint_watch import EndpointWatch
 from .net.reactor import Reactor
 from .state.handover_sender import HandoverSender
-from .state.handover_sockets import connect_to_newest
+from .state.handover_sockets import connect_to_newest, has_listener
 from .stop_timeline import StopTimeline
 
 if TYPE_CHECKING:
@@ -23,6 +23,7 @@
 log = logging.getLogger("gradefront")
 
 EMPTY_CHECK_US = 100_000  # interval at which a replaced process checks whether it still has connections
+SUCCESSOR_CHECK_US = 20_000  # after a failed handover; a process that ends closes its sockets one by one
 CLOSED_CHECK_US = 8_000  # interval of the checks whether peers have closed, or all answers are sent
 # Steps of the shutdown, by their time after the last answers:
 DROP_HANDSHAKES_US = 50_000  # new TCP handshakes are dropped
@@ -53,6 +54,7 @@
         self.reactor = reactor
         self.timeline = StopTimeline(self.core.clock)
         self.pre_request_rejected = False
+        self.successor_lost = False  # the successor ended during the handover
 
     def begin(self, waited_us: int = 0) -> None:
         """Begin the shutdown, requested by a signal received `waited_us` ago. A repeated signal has no effect."""
@@ -69,15 +71,31 @@
         self.listener.close_handover()
         if handover_socket:
             log.info("handing established connections over to the successor process")
-            HandoverSender(self.core, self.client_factory, self.reactor, handover_socket).step()
+            HandoverSender(
+                self.core, self.client_factory, self.reactor, handover_socket, self._on_handover_failed
+            ).step()
         self.core.lifecycle.leave(self._close_connections, at_once=handover_socket is None, waited_us=waited_us)
         self._stop_when_empty()
 
+    def _on_handover_failed(self) -> None:
+        self.core.call_later(SUCCESSOR_CHECK_US, self._replace_lost_successor)
+
+    def _replace_lost_successor(self) -> None:
+        """Accept clients to the end, as if there had been no successor, if it has ended."""
+        receiver = self.listener.handover_receiver
+        if self.core.lifecycle.state is not LifecycleState.LEAVING or not receiver or has_listener(receiver.path):
+            return
+        log.warning("the successor process has ended; accepting clients until this process ends, too")
+        self.successor_lost = True
+        self.listener.accept_again()
+
     def _stop_when_empty(self) -> None:
         """Stop early once no connections are left.
 
         Clients no longer connect to this process, and its successor needs the CPU time, memory and descriptors.
         """
+        if self.successor_lost:
+            return
         if self.client_factory.open_connections or self.core.connections:
             self.core.call_later(EMPTY_CHECK_US, self._stop_when_empty)
         else:
--- a/gradefront/state/handover_sender.py
+++ b/gradefront/state/handover_sender.py
@@ -59,15 +59,24 @@
 
 
 class HandoverSender:
-    """Hands the connections of this process over to the newest one, through the connected Unix socket `sock`."""
+    """Hands the connections of this process over to the newest one, through the connected Unix socket `sock`.
+
+    `on_failed` is called once if the newest process ends the handover, or answers in another form.
+    """
 
     def __init__(
-        self, core: RelayCore, client_factory: ClientProtocolFactory, reactor: Reactor, sock: socket.socket
+        self,
+        core: RelayCore,
+        client_factory: ClientProtocolFactory,
+        reactor: Reactor,
+        sock: socket.socket,
+        on_failed: Callable[[], None],
     ) -> None:
         self.core = core
         self.client_factory = client_factory
         self.reactor = reactor
         self.sock: socket.socket | None = sock
+        self.on_failed = on_failed
         self.unanswered: dict[int, _SentConnection] = {}  # by number of the connection
         self.not_sendable: set[int] = set()  # connections that the receiver rejected, or that could not be sent
         reactor.addReader(self)
@@ -201,6 +210,7 @@
         if self.sock:
             log.warning("handover to the newest process failed; no more connections are handed over: %s", error)
             self.close()
+            self.on_failed()
 
     def _contain(self, sent: _SentConnection, step: Callable[[], None]) -> None:
         """Run a step on one connection, whose exception must not end the handover of the others."""
--- a/tests/test_handover_answers.py
+++ b/tests/test_handover_answers.py
@@ -36,7 +36,9 @@
         ours, self.receiver = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         ours.setblocking(False)
         self.receiver.settimeout(10)
-        self.sender = HandoverSender(self.loop.core, self.loop.relay.client_factory, self.loop.reactor, ours)
+        self.sender = HandoverSender(
+            self.loop.core, self.loop.relay.client_factory, self.loop.reactor, ours, lambda: None
+        )
 
     def receive(self) -> tuple[HandoverMessage, list[int]]:
         """Receive the next message and its descriptors."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -311,6 +311,28 @@
     asyncio.run(scenario())
 
 
+def test_a_process_whose_successor_dies_during_the_handover_accepts_clients_again(tmp_path: Path) -> None:
+    """Guards against clients that no process accepts until the next one starts."""
+
+    async def scenario() -> None:
+        async with Upgrade(tmp_path) as upgrade:
+            old = await upgrade.start("old")
+            standing = [await upgrade.establish(old) for _ in range(12)]
+            successor = await upgrade.start("new")
+            successor.process.send_signal(signal.SIGSTOP)
+            old.process.send_signal(signal.SIGTERM)
+            await old.line("handing established connections over")
+            successor.process.kill()
+            await old.line("the successor process has ended")
+            device = await LineDevice.connect(old.ports[0])
+            device.open(d=4000)
+            assert await device.line() == "UP r-1"
+            assert [await each.line() for each in (device, *standing)] == ["MOVE"] * 13
+            assert await old.stop() == 0
+
+    asyncio.run(scenario())
+
+
 def impostor_of(folder: Path) -> socket.socket:
     """Listen in place of the newest process, as one that answers messages."""
     impostor, _ = listen_as_newest(folder / SOCKET_NAME)
