QUIC front: use a class's new rules for requests after a reload

Cause: listeners held their class by its number at the start, but a class that SIGHUP changes gets a new number.

Change: classes are held by name and looked up for each request. A request of a dropped class is answered ERR.

Measured: both cases of the regression test failed before, and pass now.

--- a/gradefront/quic/config.py
+++ b/gradefront/quic/config.py
@@ -30,9 +30,12 @@
 
 @dataclass(frozen=True)
 class QuicConfig:
-    """The QUIC front's settings."""
+    """The QUIC front's settings.
 
-    listen: dict[int, Address]  # by request class
+    Request classes are held by name, because a class's number changes when a reload changes its rules.
+    """
+
+    listen: dict[str, Address]  # by request class
     forms: tuple[IdForm, ...]
     backends: dict[str, QuicBackend]
     path_idle_us: int
@@ -45,8 +48,8 @@
     token_keys: dict[int, TokenKey] = field(repr=False)
     newest_token_key: int = 0
     token_life_us: int = 10_000_000
-    class_of_protocol: dict[str, int] = field(default_factory=dict)
-    class_of_name: dict[str, int] = field(default_factory=dict)
+    class_of_protocol: dict[str, str] = field(default_factory=dict)
+    class_of_name: dict[str, str] = field(default_factory=dict)
 
     def id_decoder(self) -> IdDecoder:
         """Return a decoder of all configurations."""
@@ -113,10 +116,10 @@
     )
 
 
-def _class(name: str, config: Config, setting: str) -> int:
+def _class(name: str, config: Config, setting: str) -> str:
     if name not in config.class_numbers:
         raise ValueError(f"{setting}: no class is named '{name}'")
-    return config.class_numbers[name]
+    return name
 
 
 def _forms(file: Any, folder: Path) -> tuple[IdForm, ...]:
--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -54,8 +54,8 @@
     def __init__(self, config: Config, quic: QuicConfig, core: RelayCore, reactor: Reactor) -> None:
         super().__init__(config, quic, core, reactor)
         self.listeners = [
-            Listener(self.hub, request_class, address, self.routes, self.lengths, self.on_client_datagram)
-            for request_class, address in quic.listen.items()
+            Listener(self.hub, class_name, address, self.routes, self.lengths, self.on_client_datagram)
+            for class_name, address in quic.listen.items()
         ]
         core.call_later(TICK_US, self._tick)
 
@@ -215,9 +215,9 @@
             owner.hello = HelloReader()
             self._read_hello(owner, opened)
             if owner.connection is None:
-                self.core.call_later(HELLO_TIMEOUT_US, lambda: self._submit(owner, listener.request_class))
+                self.core.call_later(HELLO_TIMEOUT_US, lambda: self._submit(owner, listener.class_name))
         else:
-            self._submit(owner, listener.request_class)
+            self._submit(owner, listener.class_name)
         return owner
 
     def _read_hello(self, owner: QuicClientConnection, opened: InitialPayload) -> None:
@@ -227,19 +227,25 @@
         if found is None:
             return
         name, protocols = found
-        request_class = self.quic.class_of_name.get(name, owner.listener.request_class)
+        class_name = self.quic.class_of_name.get(name, owner.listener.class_name)
         for protocol in protocols:
             if protocol in self.quic.class_of_protocol:
-                request_class = self.quic.class_of_protocol[protocol]
+                class_name = self.quic.class_of_protocol[protocol]
                 break
-        self._submit(owner, request_class)
+        self._submit(owner, class_name)
 
-    def _submit(self, owner: QuicClientConnection, request_class: int) -> None:
-        if owner.connection is None and owner in self.connections:
-            waited_us = self.now() - owner.created_us
-            timeout_us = max(1, self.config.settings.classes[request_class].deadline_us - waited_us)
-            owner.hello = None
-            owner.connection = self.core.accept(ConnectRequest(timeout_us, owner, request_class), owner, self)
+    def _submit(self, owner: QuicClientConnection, class_name: str) -> None:
+        if owner.connection is not None or owner not in self.connections:
+            return
+        request_class = self.config.class_numbers.get(class_name)
+        if request_class is None:  # a reload has dropped the class
+            self.count_drop("unknown_class")
+            owner.fail()
+            return
+        waited_us = self.now() - owner.created_us
+        timeout_us = max(1, self.config.settings.classes[request_class].deadline_us - waited_us)
+        owner.hello = None
+        owner.connection = self.core.accept(ConnectRequest(timeout_us, owner, request_class), owner, self)
 
     def _on_pending_datagram(
         self, owner: QuicClientConnection, packets: list[Packet], datagram: bytes, client: Address
--- a/gradefront/quic/listener.py
+++ b/gradefront/quic/listener.py
@@ -25,14 +25,14 @@
     def __init__(  # noqa: PLR0913 - the front shares its tables with its listeners
         self,
         hub: Hub,
-        request_class: int,
+        class_name: str,
         address: Address,
         routes: dict[bytes, Path],
         lengths: list[int],
         on_datagram: Callable[[Listener, bytes, Address], None],
     ) -> None:
         super().__init__(hub, address[0], address[1], SOCKET_BUFFER)
-        self.request_class = request_class
+        self.class_name = class_name
         self.routes = routes
         self.lengths = lengths
         self.on_datagram = on_datagram
--- a/gradefront/quic/maintenance.py
+++ b/gradefront/quic/maintenance.py
@@ -148,12 +148,11 @@
         owner = connection_for_path(self, path)
         self.connections[owner] = None
         self._assign_owner(path, owner)
+        class_numbers = self.config.class_numbers
+        # A reload may have dropped the class; its connections continue under another one.
+        class_number = class_numbers.get(path.listener.class_name, next(iter(class_numbers.values())))
         owner.connection = self.core.adopt_connection(
-            ConnectRequest(
-                self.config.settings.classes[path.listener.request_class].deadline_us,
-                owner,
-                path.listener.request_class,
-            ),
+            ConnectRequest(self.config.settings.classes[class_number].deadline_us, owner, class_number),
             owner,
             self,
             path.backend,
--- a/gradefront/reload.py
+++ b/gradefront/reload.py
@@ -106,6 +106,7 @@
         log.info("configuration applied; discovery at %s:%d", *config.discovery)
         if discovery_moved:
             self.endpoint_watch.change_address(config.discovery)
-        if self.quic and prepared.quic:
+        if self.quic:
             self.quic.config = config
-            self.quic.configure(prepared.quic)
+            if prepared.quic:
+                self.quic.configure(prepared.quic)
--- a/tests/test_quic_repeated_initial.py
+++ b/tests/test_quic_repeated_initial.py
@@ -199,6 +199,27 @@
         assert not read_all(moved)
 
 
+@pytest.mark.parametrize(
+    "class_numbers, expected", [({"visit-checkin": 1}, Idempotency.NOT_IDEMPOTENT), ({"roster-feed": 0}, None)]
+)
+def test_a_request_after_a_reload_gets_its_class_s_new_rules(
+    requests: Any, class_numbers: dict[str, int], expected: Idempotency | None
+) -> None:
+    """Guards against a second execution of a request whose class was declared unsafe by a reload; a request of a
+    class that was dropped is answered at once, and never gets the rules of another one."""
+    request = requests()
+    classes = (CLASS, replace(CLASS, idempotency=Idempotency.NOT_IDEMPOTENT))
+    settings = replace(SETTINGS, classes=classes)
+    request.bench.core.settings = settings
+    request.front.config = replace(CONFIG, settings=settings, class_numbers=class_numbers)
+    request.send(HELLO)
+    if expected is None:
+        assert not request.bench.core.connections and len(read_all(request.client)) == 1
+    else:
+        accepted = request.connection
+        assert accepted.settings.classes[accepted.connect_request.request_class].idempotency is expected
+
+
 def test_a_request_that_was_sent_once_and_refused_was_never_executed(requests: Any) -> None:
     request = requests(HELLO)
     request.kill_backend()
