Start with the endpoint list of the replaced process if that is newer

Cause: a process that replaced another while discovery was away accepted clients with the list of its configuration, which is as old as the relay's first start.

--- a/gradefront/listening.py
+++ b/gradefront/listening.py
@@ -5,13 +5,15 @@
 import logging
 import os
 import socket
-from pathlib import Path
 from typing import Any
 
 from .config import Config, SettingError
 from .net.client_protocol import ClientProtocolFactory
+from .net.endpoint_list import EndpointList
 from .net.reactor import Reactor
+from .state.endpoint_handover import KnownEndpoints
 from .state.handover_receiver import HandoverReceiver
+from .state.handover_sockets import find_handover_path
 
 log = logging.getLogger("gradefront")
 
@@ -44,11 +46,17 @@
     """
 
     def __init__(
-        self, config: Config, client_factory: ClientProtocolFactory, reactor: Reactor, inherited: socket.socket | None
+        self,
+        config: Config,
+        client_factory: ClientProtocolFactory,
+        endpoint_list: EndpointList,
+        reactor: Reactor,
+        inherited: socket.socket | None,
     ) -> None:
         self.relay_name = config.name
         self.address = config.listen
         self.client_factory = client_factory
+        self.endpoint_list = endpoint_list
         self.reactor = reactor
         self.inherited = inherited
         self.port: Any = None
@@ -63,13 +71,16 @@
         """Accept clients on the inherited listener, concurrently with the process that does so already."""
         assert self.inherited
         self.accept_again()
-        if "TMPDIR" in os.environ:
+        if path := find_handover_path():
             self.handover_receiver = HandoverReceiver(
-                self.client_factory.core, self.client_factory, self.reactor, Path(os.environ["TMPDIR"])
+                self.client_factory.core, self.client_factory, self.reactor, path.parent, self._known_endpoints
             )
             self.handover_receiver.open()
         log.info("relay %s accepts clients on inherited descriptor %d", self.relay_name, self.inherited.fileno())
 
+    def _known_endpoints(self) -> KnownEndpoints:
+        return KnownEndpoints(self.endpoint_list.document(), self.endpoint_list.heard_us_ago())
+
     def accept_again(self) -> None:
         """Accept clients on the inherited listener, also after `stop`."""
         if self.inherited:
--- a/gradefront/net/endpoint_list.py
+++ b/gradefront/net/endpoint_list.py
@@ -21,6 +21,7 @@
     endpoint: Endpoint
     address: tuple[str, int]  # host and port; ("", 0) for a deleted backend
     start: BackendStart
+    member: dict[str, Any]  # the entry as it was received
 
 
 class _ParsedMembers(NamedTuple):
@@ -50,6 +51,24 @@
         listed = self.backends.get(backend)
         return listed.address if listed else None
 
+    def document(self) -> dict[str, Any]:
+        """Return the list in discovery's format, as a complete one."""
+        members = [backend.member for backend in self.backends.values()]
+        return {"revision": self.revision, "complete": True, "members": members}
+
+    def heard_us_ago(self) -> int | None:
+        """Return the microseconds since the last sign of life from discovery; None if there was none."""
+        return None if self.last_heartbeat_us is None else self.core.clock() - self.last_heartbeat_us
+
+    def apply_previous(self, document: dict[str, Any], heard_us_ago: int | None) -> None:
+        """Apply the list of the process that this one replaces, with the time since that last heard of discovery.
+
+        Raises ValueError, and changes nothing, if the document as a whole is invalid.
+        """
+        self.apply(document, complete=True)
+        if heard_us_ago is not None:
+            self.last_heartbeat_us = self.core.clock() - heard_us_ago
+
     def apply(self, document: dict[str, Any], complete: bool | None = None) -> None:
         """Apply one document from discovery, or the list `known` of the configuration.
 
@@ -126,7 +145,7 @@
             weight,
             start.at_us,
         )
-        return ListedBackend(endpoint, address, start)
+        return ListedBackend(endpoint, address, start, member)
 
 
 def _parse_address(host_port: Any) -> tuple[str, int]:
--- a/gradefront/service.py
+++ b/gradefront/service.py
@@ -24,6 +24,8 @@
 from .quic.switch import quic_file
 from .reload import ConfigReloader
 from .shutdown import Shutdown
+from .state.endpoint_handover import request_endpoints
+from .state.handover_sockets import find_handover_path
 
 if TYPE_CHECKING:
     from .fleet.settings import FleetConfig
@@ -65,9 +67,11 @@
         awaits_fresh_list = inherited is not None or self.endpoint_watch.pushed
         if awaits_fresh_list:
             core.lifecycle.await_endpoint_list()
-        startup.apply_known_endpoints(config, self.endpoint_list)
+        handover_path = find_handover_path() if inherited else None
+        previous = request_endpoints(handover_path) if handover_path else None
+        startup.apply_known_endpoints(config, self.endpoint_list, previous)
         self.client_factory = startup.build_client_factory(config, core, self.endpoint_list, reactor)
-        self.client_listener = ClientListener(config, self.client_factory, reactor, inherited)
+        self.client_listener = ClientListener(config, self.client_factory, self.endpoint_list, reactor, inherited)
         if inherited:
             core.lifecycle.on_ready = self.client_listener.listen_on_inherited
         self.quic = startup.build_quic_front(config, quic, core, reactor) if quic else None
--- a/gradefront/startup.py
+++ b/gradefront/startup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -21,6 +22,7 @@
 from .net.endpoint_watch import EndpointWatch
 from .net.health_checks import BackendHealthChecker
 from .net.reactor import Driver, Reactor
+from .state.endpoint_handover import KnownEndpoints
 
 if TYPE_CHECKING:
     from .fleet.settings import FleetConfig
@@ -28,6 +30,8 @@
     from .quic.config import QuicConfig
     from .quic.front import QuicFront
 
+log = logging.getLogger("gradefront")
+
 ADMIN_BACKLOG = 64  # connections in the listen queue
 
 
@@ -60,8 +64,19 @@
     return endpoint_list, endpoint_watch
 
 
-def apply_known_endpoints(config: Config, endpoint_list: EndpointList) -> None:
-    """Apply the endpoint list in the configuration as the initial one. Raises SettingError."""
+def apply_known_endpoints(config: Config, endpoint_list: EndpointList, previous: KnownEndpoints | None) -> None:
+    """Apply the initial endpoint list: the configuration's, or the `previous` process's if that is newer.
+
+    Raises SettingError if the configuration's is invalid.
+    """
+    if previous and previous.revision > KnownEndpoints(config.initial_endpoints, None).revision:
+        try:
+            endpoint_list.apply_previous(previous.document, previous.heard_us_ago)
+        except ValueError as error:
+            log.warning("the endpoint list of the process that is replaced is invalid: %s", error)
+        else:
+            log.info("endpoint list of the process that is replaced: revision %d", previous.revision)
+            return
     try:
         endpoint_list.apply(config.initial_endpoints, complete=True)
     except ValueError as error:
--- a/gradefront/state/handover_receiver.py
+++ b/gradefront/state/handover_receiver.py
@@ -6,6 +6,7 @@
 import os
 import socket
 from collections import deque
+from collections.abc import Callable
 from contextlib import suppress
 from pathlib import Path
 
@@ -15,6 +16,8 @@
 from gradefront.net.reactor import Reactor
 
 from .adoption import SOCKETS_PER_CONNECTION, Adopter, AdoptionError
+from .endpoint_handover import REQUEST as ENDPOINTS_REQUEST
+from .endpoint_handover import KnownEndpoints, send_endpoints
 from .form import MAX_SNAPSHOT_BYTES
 from .handover_messages import MAX_HEADER_BYTES, HandoverAnswer, decode_message
 from .handover_sockets import MAX_SENDERS, SOCKET_NAME, has_listener, is_same_user, listen_as_newest, refuse_more
@@ -73,6 +76,9 @@
         if not data and not fds:
             self.receiver.on_sender_done(self)
             return False
+        if data == ENDPOINTS_REQUEST and self.receiver.known_endpoints:
+            send_endpoints(self.sock, self.receiver.known_endpoints())
+            return True
         try:
             self._on_message(data, fds, bool(flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC)))
         except Exception:  # a fault must affect this connection only
@@ -129,16 +135,25 @@
 
 
 class HandoverReceiver:
-    """Adopts the connections of earlier processes, which connect to the Unix socket in `folder`."""
+    """Adopts the connections of earlier processes, which connect to the Unix socket in `folder`.
+
+    `known_endpoints` returns the endpoint list to tell a process that is about to replace this one.
+    """
 
     def __init__(
-        self, core: RelayCore, client_factory: ClientProtocolFactory, reactor: Reactor, folder: Path
+        self,
+        core: RelayCore,
+        client_factory: ClientProtocolFactory,
+        reactor: Reactor,
+        folder: Path,
+        known_endpoints: Callable[[], KnownEndpoints] | None = None,
     ) -> None:
         self.core = core
         self.client_factory = client_factory
         self.reactor = reactor
         self.adopter = Adopter(core, client_factory, reactor)
         self.path = folder / SOCKET_NAME
+        self.known_endpoints = known_endpoints
         self.senders: list[_SenderConnection] = []
         self.listener: socket.socket | None = None
         self.inode = 0
--- a/gradefront/state/handover_sockets.py
+++ b/gradefront/state/handover_sockets.py
@@ -24,6 +24,12 @@
 PEER_CREDENTIALS = struct.Struct("3i")  # struct ucred: process, user and group id
 
 
+def find_handover_path() -> Path | None:
+    """Return the path of the handover socket, in the folder that TMPDIR names; None if it is not set."""
+    folder = os.environ.get("TMPDIR")
+    return Path(folder) / SOCKET_NAME if folder is not None else None
+
+
 class SingleProtocolFactory:
     """A protocol factory that returns one given protocol, for an existing connection."""
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -153,7 +153,9 @@
         self.listener.close()
         self.backend.server.close()
 
-    async def start(self, name: str, service_settings: dict[str, Any] | None = None) -> Program:
+    async def start(
+        self, name: str, service_settings: dict[str, Any] | None = None, known: dict[str, Any] | None = None
+    ) -> Program:
         (self.folder / name).mkdir()
         process = await self.stack.enter_async_context(
             program(
@@ -163,6 +165,7 @@
                 admin=True,
                 listener=self.listener,
                 shared=self.shared,
+                known=known,
             )
         )
         await process.line("accepts clients on inherited descriptor")
@@ -333,6 +336,31 @@
     asyncio.run(scenario())
 
 
+def test_a_process_that_starts_without_discovery_knows_the_drains_that_the_replaced_one_was_told_of(
+    tmp_path: Path,
+) -> None:
+    """Guards against new connections to a backend that discovery has declared draining, or that has left."""
+
+    async def scenario() -> None:
+        async with Upgrade(tmp_path) as upgrade:
+            leaving = StandInBackend(lambda line: "UP leaving")
+            upgrade.discovery.add("box-1", await leaving.open())
+            known = json.loads(json.dumps(upgrade.discovery.list()))
+            old = await upgrade.start("old", known=known)
+            upgrade.discovery.publish("box-1", "DRAINING")
+            await old.line("backend box-1 is draining")
+            upgrade.discovery.held = True
+            new = await upgrade.start("new", known=known)
+            assert any("endpoint list of the process that is replaced: revision 2" in line for line in new.log)
+            assert await old.stop() == 0
+            before = len(leaving.first_lines)
+            devices = [await upgrade.establish(new) for _ in range(12)]
+            assert len(leaving.first_lines) == before and len(devices) == 12
+            leaving.server.close()
+
+    asyncio.run(scenario())
+
+
 def impostor_of(folder: Path) -> socket.socket:
     """Listen in place of the newest process, as one that answers messages."""
     impostor, _ = listen_as_newest(folder / SOCKET_NAME)
