QUIC front: name the setting whose port is in use

Change: a ConfigError that names quic.json, the class and the address; status 2 as for other settings.

Measured: the regression test failed with the OSError before, and passes now.

--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -11,7 +11,7 @@
 import os
 import time
 
-from gradefront.config import Address, Config
+from gradefront.config import Address, Config, ConfigError
 from gradefront.core.connect_request import ConnectRequest
 from gradefront.core.ports import ConnectionEnd
 from gradefront.core.relay import RelayCore
@@ -39,6 +39,7 @@
 from .listener import Listener
 from .maintenance import SERVING_STATES, TICK_US, Maintenance
 from .sent_hello import ClientDatagram, hello_parts
+from .switch import quic_file
 from .tables import ANSWER_RETENTION_US
 from .tokens import TokenCheck, TokenVerdict
 
@@ -53,12 +54,19 @@
 
     def __init__(self, config: Config, quic: QuicConfig, core: RelayCore, reactor: Reactor) -> None:
         super().__init__(config, quic, core, reactor)
-        self.listeners = [
-            Listener(self.hub, class_name, address, self.routes, self.lengths, self.on_client_datagram)
-            for class_name, address in quic.listen.items()
-        ]
+        self.listeners = [self._listen(class_name, address) for class_name, address in quic.listen.items()]
         core.call_later(TICK_US, self._tick)
 
+    def _listen(self, class_name: str, address: Address) -> Listener:
+        """Open the listening socket of a request class. Raises ConfigError, as when another process has the port."""
+        try:
+            return Listener(self.hub, class_name, address, self.routes, self.lengths, self.on_client_datagram)
+        except OSError as error:
+            host, port = address
+            raise ConfigError(
+                f"{quic_file().name}: listen.{class_name}: cannot listen on {host}:{port}: {error.strerror or error}"
+            ) from None
+
     # ---- from clients
 
     def on_client_datagram(self, listener: Listener, datagram: bytes, client: Address) -> None:
--- a/tests/test_quic_parts.py
+++ b/tests/test_quic_parts.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import os
+import socket
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -19,10 +21,13 @@
 from gradefront.quic import FILE as SHIPPED_FILE
 from gradefront.quic import config as quic_config
 from gradefront.quic import switch
+from gradefront.quic.front import QuicFront
 from gradefront.quic.headers import VERSIONS, Kind, invariants, reset_token, split, stateless_reset
 from gradefront.quic.ids import IdForm
 from gradefront.quic.initials import close_initial, is_valid_retry, open_initial
 
+from .helper import Bench
+
 CONFIG = Config(
     name="n0",
     listen=("127.0.0.1", 0),
@@ -154,3 +159,16 @@
 def test_as_shipped_the_front_is_off() -> None:
     assert switch.load(CONFIG, SHIPPED_FILE) is None
     assert switch.load(CONFIG, Path("no/such/file")) is None
+
+
+def test_a_listen_address_in_use_is_an_error_that_names_the_setting() -> None:
+    """Guards against a start that ends with a traceback because another process holds the port."""
+    reactor: Any = SimpleNamespace(addReader=lambda _: None, removeReader=lambda _: None)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        front = quic_config.parse({**FILE, "listen": {"visit-checkin": address}}, CONFIG)
+        with pytest.raises(
+            ConfigError, match=f"quic.json: listen.visit-checkin: cannot listen on {address}: Address"
+        ):
+            QuicFront(CONFIG, front, Bench().core, reactor)
