Review: raise the soft limit on descriptors for the 5,120 backends of case 6

Why: where the soft limit is 1,024, case 6 could not run. What: rig2.py raises it within the hard limit, for its own process.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -10,6 +10,7 @@
 import json
 import os
 import random
+import resource
 import shutil
 import signal
 import socket
@@ -23,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 BROKEN, HELD, NOT_RUN = 1, 0, 2
+DESCRIPTORS = 16_384
 
 
 class CaseError(Exception):
@@ -562,6 +564,10 @@
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble" if trouble else "no trouble")
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = DESCRIPTORS if hard == resource.RLIM_INFINITY else min(DESCRIPTORS, hard)
+    if soft != resource.RLIM_INFINITY and soft < wanted:  # of this process: case 6 has 5,120 backends in it
+        resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))  # so that the processes are ended here too
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
     status = NOT_RUN
