--- a/gradefront/admin/server.py
+++ b/gradefront/admin/server.py
@@ -52,7 +52,7 @@
             log.exception("an admin command failed")
             self.answer(["fail an error in the relay"])
 
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: ARG002 - Twisted's signature
+    def line_too_long(self) -> None:
         """Reject an overlong command."""
         self.answer(["fail an overlong call"])
 
--- a/gradefront/net/backend_connection.py
+++ b/gradefront/net/backend_connection.py
@@ -88,7 +88,7 @@
             log.exception("unhandled exception while processing a line from a backend")
             self.abort()
 
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: ARG002 - Twisted's signature
+    def line_too_long(self) -> None:
         """Abort this connection on an overlong line; if it was established, migrate the client first."""
         self.upstream.count_invalid("sent a line that exceeds the length limit")
         attempt = self.upstream.attempt
--- a/gradefront/net/base.py
+++ b/gradefront/net/base.py
@@ -3,22 +3,24 @@
 from __future__ import annotations
 
 from contextlib import suppress
+from functools import cached_property
 from typing import Any, cast
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
-from twisted.protocols.basic import LineReceiver
+from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from gradefront.core.ports import ConnectionEnd
 
 from .closing import MAX_DISCARDED_BYTES, ConnectionCloser
+from .line_buffer import LineBuffer, LineTooLongError
 from .lines import MAX_LINE
 
 
 @implementer(IHalfCloseableProtocol)
-class LineProtocol(LineReceiver):
+class LineProtocol(Protocol):
     """A protocol whose lines end with CRLF and are at most 4 KiB long."""
 
     MAX_LENGTH = MAX_LINE
@@ -26,6 +28,12 @@
     closer: ConnectionCloser | None = None  # set by `finish`
     discarded = 0  # bytes received after `finish`
     aborted = False
+    _is_handling = False  # received lines are being handled now
+
+    @cached_property
+    def received(self) -> LineBuffer:
+        """The bytes that are received but not handled yet."""
+        return LineBuffer(self.delimiter, self.MAX_LENGTH)
 
     @property
     def tcp(self) -> Any:
@@ -43,20 +51,67 @@
 
     def finish(self, closer: ConnectionCloser, ending: ConnectionEnd = ConnectionEnd.ORDERLY) -> None:
         """Close the connection as soon as all written data is sent. Data received from now on is discarded."""
-        if self.closer is None and not self.aborted:
+        if not self._is_ending:
             self.closer = closer
             closer.begin(self, ending)
 
     def dataReceived(self, data: bytes) -> None:
         """Handle received bytes. After `finish`, discard up to MAX_DISCARDED_BYTES of them: closing a socket that has
         unread data would reset the connection."""
-        if self.closer is None:
-            cast(Any, super()).dataReceived(data)
-            return
-        self.discarded += len(data)
-        if self.discarded > MAX_DISCARDED_BYTES:
+        if self._is_ending:
+            self._discard(len(data))
+        else:
+            self.received.append(data)
+            self._handle_received()
+
+    @property
+    def _is_ending(self) -> bool:
+        return self.closer is not None or self.aborted
+
+    def _discard(self, size: int) -> None:
+        self.discarded += size
+        if self.closer and self.discarded > MAX_DISCARDED_BYTES:
             self.closer.on_discard_limit(self)
 
+    def _handle_received(self) -> None:
+        """Handle received lines, until this connection ends; what follows then is discarded."""
+        if self._is_handling:
+            return
+        self._is_handling = True
+        try:
+            while not self._is_ending and self.handle_next():
+                pass
+        finally:
+            self._is_handling = False
+        self.on_lines_handled()
+        if self._is_ending:
+            self._discard(len(self.received))
+            self.received.clear()
+
+    def handle_next(self) -> bool:
+        """Handle the next line. Return False if none is complete, or if the line is too long."""
+        try:
+            line = self.received.take_line()
+        except LineTooLongError:
+            self.received.clear()
+            self.line_too_long()
+            return False
+        if line is None:
+            return False
+        self.lineReceived(line)
+        return True
+
+    def lineReceived(self, line: bytes) -> None:
+        """Handle a line, without its delimiter."""
+        raise NotImplementedError
+
+    def line_too_long(self) -> None:
+        """Handle a line that exceeds the length limit. What was received is discarded."""
+        raise NotImplementedError
+
+    def on_lines_handled(self) -> None:
+        """Handle that the received lines have been handled, as far as they are complete."""
+
     def abort(self) -> None:
         """Reset the connection at once. Nothing more is read."""
         self.aborted = True
@@ -87,28 +142,21 @@
             self.closer.on_connection_lost(self)
 
     def read_available(self) -> bool:
-        """Read the data that the kernel holds; return whether the peer has closed its side or this side is closing.
+        """Read and handle the data that the kernel holds; return whether the peer has closed its side or this side is
+        closing.
 
         This detects a close that the reactor has not noticed yet.
         """
-        return self.closer is not None or self.aborted or bool(self.tcp.read_available())
+        return self._is_ending or bool(self.tcp.read_available())
 
     def take_partial_line(self) -> bytes:
         """Remove and return the received bytes of an incomplete line."""
-        return cast(bytes, cast(Any, self).clearLineBuffer())
+        return self.received.take_all()
 
     def replay_received(self, data: bytes) -> None:
         """Handle data that this process or an earlier one has read from the connection but not handled."""
         if data:
-            cast(Any, self).dataReceived(data)
-
-    def receive_raw(self) -> None:
-        """Switch to raw mode: from now on receive bytes, not lines."""
-        cast(Any, self).setRawMode()
-
-    def receive_lines(self, rest: bytes) -> None:
-        """Switch back to line mode, beginning with the bytes in `rest`."""
-        cast(Any, self).setLineMode(rest)
+            self.dataReceived(data)
 
 
 def connection_end(reason: Any) -> ConnectionEnd:
--- a/gradefront/net/client_protocol.py
+++ b/gradefront/net/client_protocol.py
@@ -112,7 +112,7 @@
         else:
             self.connection = client_factory.core.accept(request, self, client_factory.connector)
 
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: ARG002 - Twisted's signature
+    def line_too_long(self) -> None:
         """End this connection with a final answer, because a line exceeds the length limit."""
         if not self.closing:
             self.client_factory.count_invalid("sent a line that exceeds the length limit")
--- a/gradefront/net/endpoint_watch_protocol.py
+++ b/gradefront/net/endpoint_watch_protocol.py
@@ -47,6 +47,7 @@
         self.stage = WatchResponseStage.STATUS
         self.is_chunked = False
         self.chunk_remaining = 0  # bytes of the current chunk that are not received yet
+        self.body: list[bytes] = []  # received and not passed on yet
 
     def connectionMade(self) -> None:
         """Request the changes since the current revision."""
@@ -58,12 +59,20 @@
             f"Host: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode()
         )
 
+    def handle_next(self) -> bool:
+        """Handle the next line, or what was received of the body."""
+        if self.stage is WatchResponseStage.UNCHUNKED_BODY:
+            return self._take_body(len(self.received))
+        if self.stage is WatchResponseStage.CHUNK:
+            return self._take_body(self.chunk_remaining)
+        return super().handle_next()
+
     def lineReceived(self, line: bytes) -> None:
         """Handle the status line, a header line, or a line before or after a chunk."""
         try:
             self._on_line(line)
         except (ValueError, IndexError) as error:
-            self.call.fail(f"invalid HTTP response from discovery: {error!r}")
+            self._fail(f"invalid HTTP response from discovery: {error!r}")
 
     def _on_line(self, line: bytes) -> None:
         if self.stage is WatchResponseStage.STATUS:
@@ -78,7 +87,7 @@
     def _on_status(self, line: bytes) -> None:
         status = line.split(b" ")[1]
         if status != OK_STATUS:
-            self.call.fail(f"HTTP status {status.decode('ascii', 'replace')}, expected 200")
+            self._fail(f"HTTP status {status.decode('ascii', 'replace')}, expected 200")
         self.stage = WatchResponseStage.HEADERS
 
     def _on_header(self, line: bytes) -> None:
@@ -91,31 +100,40 @@
             self.stage = WatchResponseStage.CHUNK_SIZE
         else:
             self.stage = WatchResponseStage.UNCHUNKED_BODY
-            self.receive_raw()
 
     def _on_chunk_size(self, line: bytes) -> None:
         self.chunk_remaining = int(line.partition(b";")[0], 16)
+        if self.chunk_remaining < 0:
+            raise ValueError("the size of a chunk is negative")
         if self.chunk_remaining == 0:
-            self.call.fail("discovery ended the response")
+            self._fail("discovery ended the response")
         else:
             self.stage = WatchResponseStage.CHUNK
-            self.receive_raw()
-
-    def rawDataReceived(self, data: bytes) -> None:
-        """Handle bytes of the body."""
-        if self.stage is WatchResponseStage.UNCHUNKED_BODY:
-            self.call.on_data(data)
-            return
-        part, rest = data[: self.chunk_remaining], data[self.chunk_remaining :]
-        self.chunk_remaining -= len(part)
-        self.call.on_data(part)
-        if self.chunk_remaining == 0:
-            self.stage = WatchResponseStage.CHUNK_END
-            self.receive_lines(rest)
 
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: ARG002 - Twisted's signature
+    def _take_body(self, size: int) -> bool:
+        """Take up to `size` bytes of the body. Return False if none has been received."""
+        part = self.received.take(size)
+        self.body.append(part)
+        if self.stage is WatchResponseStage.CHUNK:
+            self.chunk_remaining -= len(part)
+            if self.chunk_remaining == 0:
+                self.stage = WatchResponseStage.CHUNK_END
+        return bool(part)
+
+    def on_lines_handled(self) -> None:
+        """Pass on what was received of the body, in one piece, as each piece costs a search for the object's end."""
+        body, self.body = b"".join(self.body), []
+        if body:
+            self.call.on_data(body)
+
+    def _fail(self, reason: str) -> None:
+        """Fail the call, after what was received before."""
+        self.on_lines_handled()
+        self.call.fail(reason)
+
+    def line_too_long(self) -> None:
         """Fail the call, because a line exceeds the length limit."""
-        self.call.fail("line in the HTTP response exceeds the length limit")
+        self._fail("line in the HTTP response exceeds the length limit")
 
     def connectionLost(self, reason: Any = None) -> None:
         """Fail the call, because the connection has ended."""
--- a/gradefront/net/health_checks.py
+++ b/gradefront/net/health_checks.py
@@ -35,7 +35,7 @@
         """Handle a response line."""
         self.owner.on_response(line)
 
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: ARG002 - Twisted's signature
+    def line_too_long(self) -> None:
         """Abort this connection, because a line exceeds the length limit."""
         self.abort()
 
--- a/gradefront/net/objects.py
+++ b/gradefront/net/objects.py
@@ -8,11 +8,11 @@
 from typing import Any, NamedTuple
 
 MAX_OBJECT_CHARACTERS = 1 << 20
-# A possible end of an object. Parsing is tried only there, to save CPU time: a list of a hundred backends arrives in
-# dozens of pieces, and a parse after each piece would start again from the beginning.
-POSSIBLE_END = re.compile(r"\}[ \t]*(?:[\r\n{]|$)")
-# Text after the position of a parse error that may still become valid when the rest arrives.
-INCOMPLETE_REST = re.compile(r'[\s,]*(?:"(?:[^"\\\r\n]|\\.)*\\?|[-+.\w]*)')
+MAX_CHARACTERS_WITHOUT_BRACE = 1 << 16  # they are searched again when the next piece has come
+# The next brace that is not within a string. Parsing is tried only at the end of an object, to save CPU time: a list
+# of a hundred backends arrives in dozens of pieces, and a parse after each piece would start from the beginning.
+NEXT_BRACE = re.compile(r'(?:[^{}"]++|"(?:[^"\\]++|\\.)*+")*+([{}])', re.DOTALL)
+WHITESPACE = re.compile(r"\s*")
 
 
 class FeedResult(NamedTuple):
@@ -23,37 +23,59 @@
 
 
 class JsonObjectReader:
-    """Reads objects from pieces of a stream."""
+    """Reads objects from pieces of a stream. A piece costs what its own characters cost, however small it is."""
 
     def __init__(self) -> None:
-        self.text = ""  # received text of the incomplete object
-        self.searched_length = 0  # leading characters of `text` that contain no possible end
+        self._text = ""  # received, from the incomplete object on
+        self._searched = 0  # leading characters of `_text` whose braces are counted
+        self._depth = 0  # open braces in them
         self._decode = codecs.getincrementaldecoder("utf-8")().decode
         self._parse = json.JSONDecoder().raw_decode
 
     def feed(self, data: bytes) -> FeedResult:
         """Add a piece of the stream and return the objects that it completes. Raises ValueError on invalid data."""
-        self.text += self._decode(data)
-        objects, is_heartbeat = list[dict[str, Any]](), False
+        text = self._text + self._decode(data)
+        objects, is_heartbeat, start = list[dict[str, Any]](), False, 0
         while True:
-            rest = self.text.lstrip()
-            is_heartbeat = is_heartbeat or "\n" in self.text[: len(self.text) - len(rest)]
-            self.text = rest
-            if rest and rest[0] != "{":
-                raise ValueError(f"expected a JSON object, got {rest[:20]!r}")
-            if not POSSIBLE_END.search(rest, self.searched_length):
+            start, has_line_break = _skip_whitespace(text, start)
+            is_heartbeat = is_heartbeat or has_line_break
+            if start < len(text) and text[start] != "{":
+                raise ValueError(f"expected a JSON object, got {text[start : start + 20]!r}")
+            if not self._is_complete(text, start):
                 break
-            try:
-                parsed, end = self._parse(rest)
-            except json.JSONDecodeError as error:
-                if not INCOMPLETE_REST.fullmatch(rest, error.pos):
-                    raise
-                break
-            except RecursionError:
-                raise ValueError("JSON object is nested too deeply") from None
+            parsed, start = self._parse_object(text, start)
             objects.append(parsed)
-            self.text, self.searched_length, is_heartbeat = rest[end:], 0, True
-        self.searched_length = len(self.text)
-        if self.searched_length > MAX_OBJECT_CHARACTERS:
-            raise ValueError("JSON object exceeds the length limit")
+            is_heartbeat = True
+        self._text = text[start:]
+        self._searched = max(0, self._searched - start)
+        self._check_length()
         return FeedResult(objects, is_heartbeat)
+
+    def _is_complete(self, text: str, start: int) -> bool:
+        """Search on for the end of the object that begins at `start`. Return whether it has been received."""
+        self._searched = max(self._searched, start)
+        while brace := NEXT_BRACE.match(text, self._searched):
+            self._searched = brace.end()
+            self._depth += 1 if brace[1] == "{" else -1
+            if self._depth == 0:
+                return True
+        return False
+
+    def _parse_object(self, text: str, start: int) -> tuple[dict[str, Any], int]:
+        """Return the object that begins at `start`, and the position of its end. Raises ValueError."""
+        try:
+            return self._parse(text, start)
+        except RecursionError:
+            raise ValueError("JSON object is nested too deeply") from None
+
+    def _check_length(self) -> None:
+        too_long = len(self._text) > MAX_OBJECT_CHARACTERS
+        if too_long or len(self._text) - self._searched > MAX_CHARACTERS_WITHOUT_BRACE:
+            raise ValueError("JSON object exceeds the length limit")
+
+
+def _skip_whitespace(text: str, start: int) -> tuple[int, bool]:
+    """Return the position of the next character that is no whitespace, and whether a line break stands before it."""
+    whitespace = WHITESPACE.match(text, start)
+    assert whitespace
+    return whitespace.end(), "\n" in whitespace[0]
--- a/tests/test_handover_answers.py
+++ b/tests/test_handover_answers.py
@@ -67,7 +67,7 @@
         protocol = self.loop.protocol_of(client)
         assert protocol.upstream and protocol.upstream.line_protocol
         backend_protocol = protocol.upstream.line_protocol
-        self.loop.until(lambda: protocol._buffer and backend_protocol._buffer)
+        self.loop.until(lambda: protocol.received and backend_protocol.received)
         self.sender.step()
         message, fds = self.receive()
         assert message.number == connection.number
