--- a/gradefront/core/answers.py
+++ b/gradefront/core/answers.py
@@ -118,6 +118,8 @@
         Raises IllegalTransitionError if it is closed already.
         """
         connection.transition(ConnectionState.CLOSED)
+        if connection.attempt:
+            connection.first_sent_us = connection.first_sent_us or connection.attempt.write_started_us
         connection.attempt = None
         if connection.deadline_timer:
             connection.deadline_timer.cancel()
--- a/gradefront/core/connection.py
+++ b/gradefront/core/connection.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from balancer.events import LoadReport, Request
-from balancer.settings import Idempotency, Settings
+from balancer.settings import Idempotency, KeyScope, Settings
 
 from .attempt_outcome import AttemptOutcome, AttemptPhase, Cause
 from .connect_request import ConnectRequest
@@ -166,6 +166,24 @@
             return now_us < sent_us + rule.dedup_window_us
         return rule.idempotency is Idempotency.IDEMPOTENT
 
+    @property
+    def gives_up_us(self) -> int:
+        """When the client of an unanswered request gives up."""
+        return self.arrived_us + self.settings.classes[self.connect_request.request_class].deadline_us
+
+    def repeatable_until_us(self) -> int | None:
+        """Return until when the request may be executed anew if its client sends it again: None means at any time.
+
+        After that it may be executed twice, also by another process at the address of its backend.
+        """
+        sent_us = self.first_sent_us or (self.attempt.write_started_us if self.attempt else 0)
+        rule = self.settings.classes[self.connect_request.request_class]
+        if not sent_us or rule.idempotency is Idempotency.IDEMPOTENT:
+            return None
+        if rule.idempotency is Idempotency.KEYED and rule.key_scope is KeyScope.ALL:
+            return sent_us + rule.dedup_window_us
+        return 0
+
     def transition(self, to: ConnectionState) -> None:
         """Enter a state. Raises IllegalTransitionError if TRANSITIONS does not allow it."""
         if to not in TRANSITIONS[self.state]:
--- a/gradefront/quic/connections.py
+++ b/gradefront/quic/connections.py
@@ -11,7 +11,7 @@
 from gradefront.core.ports import BackendConnection, ConnectionEnd
 
 from .config import QuicConfig
-from .headers import Kind, Packet, split, stateless_reset
+from .headers import MIN_INITIAL_LENGTH, Kind, Packet, split, stateless_reset
 from .hello import HelloReader, InvalidHelloError
 from .initials import CONNECTION_REFUSED, InitialPayload, busy_reason, close_initial, is_valid_retry, open_initial
 from .listener import Listener
@@ -22,6 +22,8 @@
 MAX_BUFFERED_DATAGRAMS = 12
 MAX_EARLY_DATAGRAMS = 4  # kept of a backend's datagrams that overtake its first Initial
 MAX_IDS_PER_CONNECTION = 16
+#: Octets of a backend's first answer that are repeated for one repeated Initial (RFC 9000 8.1: three times its size).
+MAX_REPEATED_ANSWER = 3 * MIN_INITIAL_LENGTH
 
 
 class FrontTables(Protocol):
@@ -56,6 +58,9 @@
     def on_settled(self, owner: QuicClientConnection) -> None:
         """Handle a connection that is established or over: it is no longer pending."""
 
+    def remember_executed(self, connection_id: bytes, connection: Connection) -> None:
+        """Remember a request that is over, if it may have been executed and must not be executed again."""
+
     def on_discarded(self, owner: QuicClientConnection) -> None:
         """Remove a connection that is over from the tables."""
 
@@ -85,6 +90,7 @@
         self.confirmed = False  # the client has used an id that only the backend's answer contained
         self.last_id = b""  # the id chosen by the backend that the client used most recently
         self.buffered: list[ClientDatagram] = []
+        self.first_answer: tuple[bytes, ...] = ()  # the backend's, while the client may have missed it
         self.hello: HelloReader | None = None
         self.ids: OrderedDict[bytes, None] = OrderedDict()
         self.paths: dict[Address, Path] = {}
@@ -107,17 +113,21 @@
         return self.connection is not None and self.connection.state is ConnectionState.CONNECTING
 
     def add_id(self, connection_id: bytes) -> None:
-        """Add an id to this connection; beyond MAX_IDS_PER_CONNECTION the oldest id is dropped."""
+        """Add an id to this connection; beyond MAX_IDS_PER_CONNECTION the oldest but the first is dropped."""
         if connection_id not in self.ids:
             self.ids[connection_id] = None
             self.front.owners[connection_id] = self
             if len(self.ids) > MAX_IDS_PER_CONNECTION:
-                old = self.ids.popitem(last=False)[0]
+                # Not the first id: a repeated Initial would be taken for a new request.
+                old = next(known for known in self.ids if known != self.first_id)
+                del self.ids[old]
                 if self.front.owners.get(old) is self:
                     del self.front.owners[old]
 
     def discard(self) -> None:
         """Remove the connection, its ids and its paths from the front's tables."""
+        if self.connection:
+            self.front.remember_executed(self.first_id, self.connection)
         for connection_id in self.ids:
             if self.front.owners.get(connection_id) is self:
                 del self.front.owners[connection_id]
@@ -161,6 +171,18 @@
             path, datagrams = response_line
             for datagram in datagrams:
                 self.listener.reply(datagram, path.client)
+            if self.must_not_repeat and sum(map(len, datagrams)) <= MAX_REPEATED_ANSWER:
+                self.first_answer = datagrams
+
+    @property
+    def must_not_repeat(self) -> bool:
+        """Whether a time has come, or will come, from which on the request must not be executed again."""
+        return self.connection is not None and self.connection.repeatable_until_us() is not None
+
+    def confirm(self) -> None:
+        """Note that the client has received the backend's answer."""
+        self.confirmed = True
+        self.first_answer = ()
 
     def reject(self, pause_us: int) -> None:
         """Close the client's connection as the final answer, with the advised pause in the reason phrase."""
--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -99,6 +99,8 @@
             self._on_initial(listener, packets, datagram, client)
         elif owner and not owner.is_established:
             self._on_pending_datagram(owner, packets, datagram, client)
+        elif owner and first.kind is Kind.INITIAL and first.to_id == owner.first_id:
+            self._on_repeated_initial(listener, owner, packets, datagram, client)
         elif owner or first.kind is Kind.HANDSHAKE:
             self._forward_by_id(listener, first.to_id, datagram, client)
         else:  # 0-RTT without its Initial, or a packet type that no client sends
@@ -130,6 +132,10 @@
             self.count_drop("malformed")
             return
         now = self.now()
+        if self.executed.forbids(connection_id, now):
+            self.count_drop("executed")
+            listener.reply(close_initial(first.version, connection_id, first.from_id, "ERR"), client)
+            return
         token_check = (
             self.mint.read(first.token, client[:2], connection_id, now) if self.mint and first.token else None
         )
@@ -275,6 +281,35 @@
 
     # ---- packets of established connections
 
+    def _on_repeated_initial(
+        self,
+        listener: Listener,
+        owner: QuicClientConnection,
+        packets: list[Packet],
+        datagram: bytes,
+        client: Address,
+    ) -> None:
+        """Handle an Initial of an established connection: its client may not have received the backend's answer.
+
+        Where another process may be running at the backend's address by now, and the request must not be executed
+        again, the relay repeats the answer itself.
+        """
+        upstream = owner.upstream
+        repeated = ClientDatagram(datagram, self._hello_parts(owner, packets))
+        if upstream and upstream.sent.covers(repeated) and not upstream.attempt.may_send_again():
+            self.count_drop("repeated")
+            for answer in owner.first_answer:
+                listener.reply(answer, client)
+            return
+        if upstream:
+            upstream.sent.add(repeated)
+        self._forward_by_id(listener, owner.first_id, datagram, client)
+
+    def _hello_parts(self, owner: QuicClientConnection, packets: list[Packet]) -> tuple[range, ...]:
+        """Return the parts of the ClientHello in a datagram's Initials."""
+        initials = [self._open(packet, owner.first_id) for packet in packets if packet.kind is Kind.INITIAL]
+        return tuple(part for opened in initials if opened for part in hello_parts(opened.crypto))
+
     def _forward_by_id(self, listener: Listener, connection_id: bytes, datagram: bytes, client: Address) -> None:
         """Send an established connection's packet to its backend, whatever client address it arrives from."""
         owner = self.owners.get(connection_id)
@@ -320,7 +355,7 @@
         if connection_id != owner.first_id:
             owner.last_id = connection_id
             if not owner.confirmed:
-                owner.confirmed = True
+                owner.confirm()
                 self.unconfirmed.pop(owner, None)
                 self.admission.credit(client[0], responded=True)
 
--- a/gradefront/quic/maintenance.py
+++ b/gradefront/quic/maintenance.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from itertools import islice
+from itertools import islice, takewhile
 
 from balancer.events import BackendState
 from gradefront.core.attempt_outcome import Cause
@@ -53,10 +53,8 @@
         for table in (self.final_answers, self.moved_ids):
             while table and next(iter(table.values()))[1] <= now:
                 table.popitem(last=False)
-        while self.unconfirmed:
-            owner = next(iter(self.unconfirmed))
-            if now - owner.created_us < self.quic.confirm_us:
-                break
+        self.executed.expire(now)
+        for owner in self._overdue_unconfirmed(now):
             self._end_unconfirmed(owner)
         self._end_gone_backends()
         # Later, all paths from the restart window are older than UNOWNED_PATH_US: _predates_start is not needed.
@@ -72,6 +70,19 @@
             if owner.is_established:
                 self._check_connection(owner, now)
 
+    def _overdue_unconfirmed(self, now: int) -> list[QuicClientConnection]:
+        """Return the connections whose client should have continued by now.
+
+        A request that must not be executed again stands until its client gives up: until then, the client's repeated
+        Initials belong to the backend that has executed it.
+        """
+        oldest = takewhile(lambda owner: now - owner.created_us >= self.quic.confirm_us, self.unconfirmed)
+        return [
+            owner
+            for owner in oldest
+            if not (owner.connection and owner.must_not_repeat and now < owner.connection.gives_up_us)
+        ]
+
     def _end_unconfirmed(self, owner: QuicClientConnection) -> None:
         """End a connection whose client did not continue after the backend's answer: its address was spoofed, or it
         has disconnected."""
--- a/gradefront/quic/tables.py
+++ b/gradefront/quic/tables.py
@@ -7,6 +7,7 @@
 
 from gradefront.config import Address, Config
 from gradefront.core.attempt_outcome import Cause
+from gradefront.core.connection import Connection
 from gradefront.core.ports import ConnectionEnd
 from gradefront.core.relay import RelayCore
 from gradefront.net.reactor import Reactor
@@ -15,6 +16,7 @@
 
 from .config import QuicConfig
 from .connections import QuicClientConnection
+from .executed import ExecutedRequests
 from .listener import Listener
 from .paths import Path, Port, PortPool
 from .sockets import Hub, source_address
@@ -49,6 +51,7 @@
         self.latest_paths: dict[tuple[Address, str], Path] = {}
         self.final_answers: OrderedDict[bytes, tuple[bytes, int]] = OrderedDict()
         self.moved_ids: OrderedDict[bytes, tuple[bytes, int]] = OrderedDict()
+        self.executed = ExecutedRequests()
         self.used_tokens: OrderedDict[bytes, None] = OrderedDict()
         #: Lengths of ids by configuration number; shared with the listeners and therefore updated in place.
         self.lengths = [0] * 8
@@ -265,6 +268,15 @@
         while len(self.final_answers) > MAX_RETAINED_ANSWERS:
             self.final_answers.popitem(last=False)
 
+    def remember_executed(self, connection_id: bytes, connection: Connection) -> None:
+        """Remember a request that is over, if it may have been executed and must not be executed again."""
+        repeatable_until_us = connection.repeatable_until_us()
+        if repeatable_until_us is None:
+            return
+        expires_us = max(self.now() + ANSWER_RETENTION_US, connection.gives_up_us)
+        if self.executed.add(connection_id, repeatable_until_us, expires_us):
+            self.core.counters.add("quic_executed_forgotten")
+
     def remember_moved_id(self, connection_id: bytes, key: bytes) -> None:
         """Remember an id of a connection that was reset, to answer later packets with a reset too."""
         self.moved_ids[connection_id] = (key, self.now() + ANSWER_RETENTION_US)
