--- a/gradefront/net/base.py
+++ b/gradefront/net/base.py
@@ -1,7 +1,13 @@
-"""Base class of the platform's line protocols: line format, graceful close and untyped access to the transport."""
+"""Base class of the platform's line protocols: line format, graceful close and untyped access to the transport.
+
+A peer may send lines at full speed. A connection handles a few of them, then all other connections have their turn,
+and nothing more is read from it until its received lines are handled.
+"""
 
 from __future__ import annotations
 
+import logging
+import time
 from contextlib import suppress
 from functools import cached_property
 from typing import Any, cast
@@ -18,6 +24,13 @@
 from .line_buffer import LineBuffer, LineTooLongError
 from .lines import MAX_LINE
 
+log = logging.getLogger("gradefront.lines")
+
+# A turn of a connection ends after so many lines, or after the line at whose end the time is over:
+MAX_LINES_PER_TURN, MAX_TURN_S = 64, 0.004
+# The same where the caller needs to know what has arrived:
+MAX_LINES_AT_ONCE, MAX_AT_ONCE_S = 256, 0.02
+
 
 @implementer(IHalfCloseableProtocol)
 class LineProtocol(Protocol):
@@ -29,6 +42,9 @@
     discarded = 0  # bytes received after `finish`
     aborted = False
     _is_handling = False  # received lines are being handled now
+    _turn_limit, _turn_s = MAX_LINES_PER_TURN, MAX_TURN_S
+    _is_lost = False
+    has_backlog = False  # received lines wait for this connection's next turn; until then nothing more is read
 
     @cached_property
     def received(self) -> LineBuffer:
@@ -52,6 +68,7 @@
     def finish(self, closer: ConnectionCloser, ending: ConnectionEnd = ConnectionEnd.ORDERLY) -> None:
         """Close the connection as soon as all written data is sent. Data received from now on is discarded."""
         if not self._is_ending:
+            self._discard_backlog()
             self.closer = closer
             closer.begin(self, ending)
 
@@ -74,19 +91,52 @@
             self.closer.on_discard_limit(self)
 
     def _handle_received(self) -> None:
-        """Handle received lines, until this connection ends; what follows then is discarded."""
+        """Handle received lines, and continue in the next iteration of the event loop if there are many."""
         if self._is_handling:
             return
         self._is_handling = True
         try:
-            while not self._is_ending and self.handle_next():
-                pass
+            is_turn_over = self._handle_turn()
         finally:
             self._is_handling = False
-        self.on_lines_handled()
+        self.on_turn_ended()
         if self._is_ending:
             self._discard(len(self.received))
             self.received.clear()
+        elif is_turn_over:
+            self.has_backlog = True
+            self.tcp.hold_reading()
+            self.tcp.reactor.callLater(0, self._begin_turn)
+
+    def _handle_turn(self) -> bool:
+        """Handle lines. Return whether more may be left, because the limit of a turn is reached."""
+        handled, end_s = 0, time.monotonic() + self._turn_s
+        while not self._is_ending and self.handle_next():
+            handled += 1
+            if handled == self._turn_limit or time.monotonic() >= end_s:
+                return True
+        return False
+
+    def _begin_turn(self) -> None:
+        """Handle the backlog, if it is still there. An exception ends this connection only."""
+        if self._is_lost or not self.has_backlog:
+            return
+        self._end_backlog()
+        try:
+            self._handle_received()
+        except Exception:
+            log.exception("unhandled exception while processing received lines")
+            self.abort()
+
+    def _end_backlog(self) -> None:
+        self.has_backlog = False
+        self.tcp.release_reading()
+
+    def _discard_backlog(self) -> None:
+        if self.has_backlog:
+            self._discard(len(self.received))
+            self.received.clear()
+            self._end_backlog()
 
     def handle_next(self) -> bool:
         """Handle the next line. Return False if none is complete, or if the line is too long."""
@@ -109,8 +159,8 @@
         """Handle a line that exceeds the length limit. What was received is discarded."""
         raise NotImplementedError
 
-    def on_lines_handled(self) -> None:
-        """Handle that the received lines have been handled, as far as they are complete."""
+    def on_turn_ended(self) -> None:
+        """Handle that no more of the received lines are handled for now."""
 
     def abort(self) -> None:
         """Reset the connection at once. Nothing more is read."""
@@ -138,6 +188,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: ARG002 - Twisted's signature
         """Notify the closer that the connection has ended."""
+        self._is_lost = True
         if self.closer:
             self.closer.on_connection_lost(self)
 
@@ -145,9 +196,17 @@
         """Read and handle the data that the kernel holds; return whether the peer has closed its side or this side is
         closing.
 
-        This detects a close that the reactor has not noticed yet.
+        This detects a close that the reactor has not noticed yet. If very much has arrived, a part of it is left to
+        this connection's next turns.
         """
-        return self._is_ending or bool(self.tcp.read_available())
+        if self._is_ending:
+            return True
+        self._turn_limit, self._turn_s = MAX_LINES_AT_ONCE, MAX_AT_ONCE_S
+        try:
+            self._begin_turn()
+            return bool(self.tcp.read_available())
+        finally:
+            self._turn_limit, self._turn_s = MAX_LINES_PER_TURN, MAX_TURN_S
 
     def take_partial_line(self) -> bytes:
         """Remove and return the received bytes of an incomplete line."""
--- a/gradefront/net/endpoint_watch_call.py
+++ b/gradefront/net/endpoint_watch_call.py
@@ -95,20 +95,32 @@
         else:
             self.fail("no heartbeat from discovery within the timeout")
 
-    def on_data(self, data: bytes) -> None:
-        """Handle bytes of the response body. Invalid data fails this call and changes nothing."""
+    def add_data(self, data: bytes) -> None:
+        """Add bytes of the response body. Invalid data fails this call and changes nothing."""
         if self.ended:
             return
         try:
-            documents, is_heartbeat = self.reader.feed(data)
-            for document in documents:
-                if not self.ended:
-                    self._on_document(document)
+            self.reader.add(data)
         except ValueError as error:
-            self.fail(f"invalid endpoint list document: {error}")
-            return
-        if is_heartbeat:
+            self._fail_invalid(error)
+
+    def handle_next_object(self) -> bool:
+        """Handle the next object of the response body. Return whether there was one."""
+        if self.ended:
+            return False
+        try:
+            document = self.reader.next_object()
+            if document is not None:
+                self._on_document(document)
+        except ValueError as error:
+            self._fail_invalid(error)
+            return False
+        if document is not None or self.reader.had_line_break:
             self.on_heartbeat()
+        return document is not None
+
+    def _fail_invalid(self, error: ValueError) -> None:
+        self.fail(f"invalid endpoint list document: {error}")
 
     def _on_document(self, document: dict[str, Any]) -> None:
         self.owner.endpoint_list.apply(document)
--- a/gradefront/net/endpoint_watch_protocol.py
+++ b/gradefront/net/endpoint_watch_protocol.py
@@ -8,6 +8,7 @@
 from .base import LineProtocol
 
 OK_STATUS = b"200"
+MAX_LAST_OBJECTS = 256  # handled at once when the response ends
 
 
 class WatchResponseStage(Enum):
@@ -32,8 +33,11 @@
     def revision(self) -> int:
         """Revision of the current endpoint list."""
 
-    def on_data(self, data: bytes) -> None:
-        """Handle bytes of the response body."""
+    def add_data(self, data: bytes) -> None:
+        """Add bytes of the response body."""
+
+    def handle_next_object(self) -> bool:
+        """Handle the next object of the response body. Return whether there was one."""
 
     def fail(self, reason: str) -> None:
         """End the call. Further calls of this method have no effect."""
@@ -47,7 +51,7 @@
         self.stage = WatchResponseStage.STATUS
         self.is_chunked = False
         self.chunk_remaining = 0  # bytes of the current chunk that are not received yet
-        self.body: list[bytes] = []  # received and not passed on yet
+        self.body: list[bytes] = []  # taken from the received bytes, and not passed on yet
 
     def connectionMade(self) -> None:
         """Request the changes since the current revision."""
@@ -60,13 +64,21 @@
         )
 
     def handle_next(self) -> bool:
-        """Handle the next line, or what was received of the body."""
+        """Handle the next object, else take the next line or part of the body."""
+        return self.call.handle_next_object() or self._take_next() or self._search_body()
+
+    def _take_next(self) -> bool:
         if self.stage is WatchResponseStage.UNCHUNKED_BODY:
             return self._take_body(len(self.received))
         if self.stage is WatchResponseStage.CHUNK:
             return self._take_body(self.chunk_remaining)
         return super().handle_next()
 
+    def _search_body(self) -> bool:
+        """Look for an object in what was taken of the body, in one piece, as each search costs."""
+        self._pass_body_on()
+        return self.call.handle_next_object()
+
     def lineReceived(self, line: bytes) -> None:
         """Handle the status line, a header line, or a line before or after a chunk."""
         try:
@@ -120,15 +132,21 @@
                 self.stage = WatchResponseStage.CHUNK_END
         return bool(part)
 
-    def on_lines_handled(self) -> None:
-        """Pass on what was received of the body, in one piece, as each piece costs a search for the object's end."""
+    def on_turn_ended(self) -> None:
+        """Pass on what was taken of the body."""
+        self._pass_body_on()
+
+    def _pass_body_on(self) -> None:
         body, self.body = b"".join(self.body), []
         if body:
-            self.call.on_data(body)
+            self.call.add_data(body)
 
     def _fail(self, reason: str) -> None:
-        """Fail the call, after what was received before."""
-        self.on_lines_handled()
+        """Fail the call, after the objects that came before."""
+        self._pass_body_on()
+        for _ in range(MAX_LAST_OBJECTS):
+            if not self.call.handle_next_object():
+                break
         self.call.fail(reason)
 
     def line_too_long(self) -> None:
--- a/gradefront/net/objects.py
+++ b/gradefront/net/objects.py
@@ -5,7 +5,7 @@
 import codecs
 import json
 import re
-from typing import Any, NamedTuple
+from typing import Any
 
 MAX_OBJECT_CHARACTERS = 1 << 20
 MAX_CHARACTERS_WITHOUT_BRACE = 1 << 16  # they are searched again when the next piece has come
@@ -15,41 +15,44 @@
 WHITESPACE = re.compile(r"\s*")
 
 
-class FeedResult(NamedTuple):
-    """The objects that a piece of the stream has completed."""
-
-    objects: list[dict[str, Any]]
-    is_heartbeat: bool  # whether the piece completed an object, or had a line break between objects
-
-
 class JsonObjectReader:
-    """Reads objects from pieces of a stream. A piece costs what its own characters cost, however small it is."""
+    """Reads objects from pieces of a stream. A piece costs what its own characters cost, however small it is.
+
+    Attributes: `had_line_break`, whether a line break stood before the object that was last returned or looked for.
+    """
 
     def __init__(self) -> None:
-        self._text = ""  # received, from the incomplete object on
-        self._searched = 0  # leading characters of `_text` whose braces are counted
-        self._depth = 0  # open braces in them
+        self.had_line_break = False
+        self._text = ""  # received and not returned yet
+        self._start = 0  # of the next object in it
+        self._searched = 0  # position up to which the braces of that object are counted
+        self._depth = 0  # open braces up to there
+        self._is_exhausted = True  # no object is complete until the next piece
         self._decode = codecs.getincrementaldecoder("utf-8")().decode
         self._parse = json.JSONDecoder().raw_decode
 
-    def feed(self, data: bytes) -> FeedResult:
-        """Add a piece of the stream and return the objects that it completes. Raises ValueError on invalid data."""
-        text = self._text + self._decode(data)
-        objects, is_heartbeat, start = list[dict[str, Any]](), False, 0
-        while True:
-            start, has_line_break = _skip_whitespace(text, start)
-            is_heartbeat = is_heartbeat or has_line_break
-            if start < len(text) and text[start] != "{":
-                raise ValueError(f"expected a JSON object, got {text[start : start + 20]!r}")
-            if not self._is_complete(text, start):
-                break
-            parsed, start = self._parse_object(text, start)
-            objects.append(parsed)
-            is_heartbeat = True
-        self._text = text[start:]
-        self._searched = max(0, self._searched - start)
-        self._check_length()
-        return FeedResult(objects, is_heartbeat)
+    def add(self, data: bytes) -> None:
+        """Add a piece of the stream. Raises ValueError on invalid data."""
+        self._text = self._text[self._start :] + self._decode(data)
+        self._searched = max(0, self._searched - self._start)
+        self._start = 0
+        self._is_exhausted = False
+
+    def next_object(self) -> dict[str, Any] | None:
+        """Return the next object, or None if it is not complete. Raises ValueError on invalid data."""
+        if self._is_exhausted:
+            self.had_line_break = False
+            return None
+        text = self._text
+        self._start, self.had_line_break = _skip_whitespace(text, self._start)
+        if self._start < len(text) and text[self._start] != "{":
+            raise ValueError(f"expected a JSON object, got {text[self._start : self._start + 20]!r}")
+        if not self._is_complete(text, self._start):
+            self._is_exhausted = True
+            self._check_length()
+            return None
+        parsed, self._start = self._parse_object(text, self._start)
+        return parsed
 
     def _is_complete(self, text: str, start: int) -> bool:
         """Search on for the end of the object that begins at `start`. Return whether it has been received."""
@@ -69,7 +72,7 @@
             raise ValueError("JSON object is nested too deeply") from None
 
     def _check_length(self) -> None:
-        too_long = len(self._text) > MAX_OBJECT_CHARACTERS
+        too_long = len(self._text) - self._start > MAX_OBJECT_CHARACTERS
         if too_long or len(self._text) - self._searched > MAX_CHARACTERS_WITHOUT_BRACE:
             raise ValueError("JSON object exceeds the length limit")
 
--- a/gradefront/net/transport.py
+++ b/gradefront/net/transport.py
@@ -9,6 +9,7 @@
 
 import errno
 import logging
+import select
 import socket
 from collections.abc import Callable
 from enum import Enum
@@ -46,8 +47,32 @@
     """Mixin for Twisted's connections: reads and writes that tolerate transient errors."""
 
     before_send: Callable[[], bool] | None = None  # called before each write; False: nothing more may be sent
+    is_reading_held = False  # the protocol handles what was read before it takes more
+    is_paused = False  # the other side of the connection takes no more data for now
     read_failed = False  # a read failed; the next `doRead` reports that to the reactor
 
+    def hold_reading(self) -> None:
+        """Read nothing more until `release_reading`, also if `resumeProducing` is called."""
+        self.is_reading_held = True
+        cast(Any, self).stopReading()
+
+    def release_reading(self) -> None:
+        """Undo `hold_reading`. Reading stays stopped if `pauseProducing` was called."""
+        self.is_reading_held = False
+        if not self.is_paused:
+            cast(Any, super()).resumeProducing()
+
+    def pauseProducing(self) -> None:
+        """Stop reading, because the other side takes no more data for now."""
+        self.is_paused = True
+        cast(Any, super()).pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Start reading again, unless the protocol holds it."""
+        self.is_paused = False
+        if not self.is_reading_held:
+            cast(Any, super()).resumeProducing()
+
     def read_once(self) -> ReadResult:
         """Read available data, at most 64 KiB, and pass it to the protocol."""
         connection: Any = self
@@ -75,17 +100,28 @@
     def read_available(self) -> bool:
         """Read unread data now, in at most MAX_READS reads.
 
-        Returns whether the peer has closed its sending side or the connection has ended. The reactor detects the same
-        later by itself.
+        Returns whether the peer has closed its sending side or the connection has ended, also if more than that lies
+        unread before the end. The reactor detects the same later by itself.
         """
         connection: Any = self
         for _ in range(MAX_READS):
             if connection.disconnected or connection._aborting or self.read_failed:
                 return True
+            if self.is_reading_held:
+                break
             result = self.read_once()
             if result is not ReadResult.DATA:
                 return result is not ReadResult.NOTHING
-        return False
+        return self.has_peer_closed()
+
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer has closed its sending side or reset the connection, whatever lies unread."""
+        connection: Any = self
+        if connection.disconnected or connection._aborting:
+            return True
+        poll = select.poll()
+        poll.register(connection.socket, select.POLLRDHUP)
+        return bool(poll.poll(0))
 
     def writeSomeData(self, data: bytes) -> int | Exception:
         """Send data. Returns the number of bytes accepted, 0 on a transient error, or the error that ends it."""
--- a/gradefront/state/handover_sender.py
+++ b/gradefront/state/handover_sender.py
@@ -127,6 +127,8 @@
         backend = upstream.line_protocol
         if not (has_sent_all(client.tcp) and has_sent_all(backend.tcp)):
             return False
+        if client.has_backlog or backend.has_backlog:
+            return False
         client.tcp.stopReading()
         backend.tcp.stopReading()
         sent = _SentConnection(
--- a/tests/test_line_cost.py
+++ b/tests/test_line_cost.py
@@ -8,6 +8,7 @@
 
 import json
 import time
+from collections.abc import Callable
 from typing import Any, cast
 
 import pytest
@@ -31,10 +32,27 @@
 class HalfClosingTransport(ProducerTransport):
     """As Twisted's, it does not count as `disconnecting` once only its sending side is shut down."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.reactor = self
+        self.next_turns: list[Callable[[], None]] = []
+
     @property
     def disconnecting(self) -> bool:
         return False
 
+    def hold_reading(self) -> None:
+        pass
+
+    release_reading = hold_reading
+
+    def callLater(self, delay_s: float, callback: Callable[[], None]) -> None:
+        self.next_turns.append(callback)
+
+    def run_turns(self) -> None:
+        while self.next_turns:
+            self.next_turns.pop(0)()
+
 
 def client_protocol() -> Any:
     bench = Bench()
@@ -66,6 +84,7 @@
         protocol = established_client()
         began_s = time.process_time()
         protocol.dataReceived(data)
+        protocol.transport.run_turns()
         costs.append(time.process_time() - began_s)
     return min(costs) / len(data)
 
@@ -78,9 +97,9 @@
 def test_chunks_that_come_together_are_searched_together() -> None:
     """Guards against a search through the whole text of an incomplete list at each of its chunks."""
     protocol, calls = watch(), list[bytes]()
-    protocol.call.on_data = calls.append
-    protocol.dataReceived(b"1\r\nx\r\n" * 10_000)
-    assert calls == [b"x" * 10_000]
+    protocol.call.add_data = calls.append
+    protocol.dataReceived(b"1\r\nx\r\n" * 20)
+    assert calls == [b"x" * 20]
 
 
 def test_lines_after_a_bad_one_are_not_taken_apart() -> None:
@@ -105,5 +124,7 @@
 
     cast(Any, reader)._parse = counted
     for piece in data.split(b"}")[:-1]:
-        objects += reader.feed(piece + b"}").objects
+        reader.add(piece + b"}")
+        while found := reader.next_object():
+            objects.append(found)
     assert objects == [document, document] and parses == 2
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -197,7 +197,8 @@
     assert old_call
     watch.change_address(("127.0.0.1", 2))
     watch.watch()  # a retry that the decision module had scheduled for the old watch
-    old_call.on_data(b'{"revision": 9, "complete": true, "members": []}')
+    old_call.add_data(b'{"revision": 9, "complete": true, "members": []}')
+    assert not old_call.handle_next_object()
     old_call.fail("the connection ended")
     bench.wait(1_000_000)
     assert reactor.ports == [1, 2] and watch.endpoint_list.revision == 0
