--- a/balancer/context.py
+++ b/balancer/context.py
@@ -34,7 +34,7 @@
         self.random = Random(seed)
         self.now_us = 0
         self.actions: list[Action] = []
-        self._logged_at_us: dict[str, int] = {}
+        self._logged_at_us: dict[str, int] = {}  # by kind, within the last LOG_INTERVAL_US, the oldest first
         self._first_list_us: int | None = None
         self._new_until_us = 0
 
@@ -48,7 +48,11 @@
 
     def log(self, kind: str, text: str) -> None:
         """Emit a log line, unless one of this kind was emitted less than `LOG_INTERVAL_US` ago."""
-        if self.now_us - self._logged_at_us.get(kind, -LOG_INTERVAL_US) >= LOG_INTERVAL_US:
+        oldest = next(iter(self._logged_at_us), None)
+        while oldest is not None and self.now_us - self._logged_at_us[oldest] >= LOG_INTERVAL_US:
+            del self._logged_at_us[oldest]
+            oldest = next(iter(self._logged_at_us), None)
+        if kind not in self._logged_at_us:
             self._logged_at_us[kind] = self.now_us
             self.emit(WriteLog(text))
 
--- a/gradefront/core/backends.py
+++ b/gradefront/core/backends.py
@@ -35,11 +35,13 @@
     def apply(self, update: EndpointListUpdate) -> tuple[list[str], list[str]]:
         """Apply a complete list or changes to it.
 
-        Returns the backends that begin to drain, and those that the update reports as gone.
+        Returns the backends that begin to drain, and those that are gone.
         """
+        draining, gone = list[str](), list[str]()
         if update.is_complete:
+            listed = {entry.backend for entry in update.entries}
+            gone += [backend for backend in self.entries if backend not in listed]
             self.entries = {}
-        draining, gone = [], []
         for entry in update.entries:
             if entry.state is BackendState.DRAINING and self.state(entry.backend) is not entry.state:
                 draining.append(entry.backend)
--- a/gradefront/core/liveness.py
+++ b/gradefront/core/liveness.py
@@ -67,6 +67,13 @@
         )
         self.silence = SilenceDetector(classes)
 
+    def forget(self, backend: str) -> None:
+        """Drop the state of a backend that has left the endpoint list."""
+        self.silence.forget(backend)
+        self.last_reply_us.pop(backend, None)
+        if self.message_latency:
+            self.message_latency.forget(backend)
+
     # ---- messages
 
     def on_message_received(self, backend: str) -> None:
--- a/gradefront/core/message_latency.py
+++ b/gradefront/core/message_latency.py
@@ -38,5 +38,10 @@
                 reports.append((self.connection[backend], backend, median_us))
             elif self.late.pop(backend, None) is not None:
                 reports.append((self.connection[backend], backend, median_us))
-        self.latencies = {}
+        self.latencies, self.connection = {}, {}
         return reports
+
+    def forget(self, backend: str) -> None:
+        """Drop the state of a backend that has left the endpoint list."""
+        self.latencies.pop(backend, None)
+        self.late.pop(backend, None)
--- a/gradefront/core/relay.py
+++ b/gradefront/core/relay.py
@@ -53,6 +53,8 @@
 
 log = logging.getLogger("gradefront.core")
 
+MAX_LOGGED_BACKENDS = 8  # of one update of the endpoint list
+
 
 class RelayCore:
     """Connects one relay's listeners, backends and timers with its decision module."""
@@ -203,10 +205,12 @@
     def on_endpoint_list(self, update: EndpointListUpdate) -> None:
         """Apply a new endpoint list, or changes to it."""
         draining, gone = self.backends.apply(update)
-        for backend in draining:
+        for backend in draining[:MAX_LOGGED_BACKENDS]:
             log.info("backend %s is draining", backend)
+        if len(draining) > MAX_LOGGED_BACKENDS:
+            log.info("%d more backends are draining", len(draining) - MAX_LOGGED_BACKENDS)
         for backend in gone:
-            self.liveness.silence.forget(backend)
+            self.liveness.forget(backend)
         self.enqueue(update)
         self.lifecycle.update_readiness()
 
--- a/gradefront/net/endpoint_list.py
+++ b/gradefront/net/endpoint_list.py
@@ -13,6 +13,9 @@
 
 STATES = {"SERVING": BackendState.READY, "DRAINING": BackendState.DRAINING, "DELETED": BackendState.GONE}
 MAX_PORT = 65_535
+MAX_BACKENDS = 8_192  # a deployment has at most 3,200, and twice as many while they are replaced
+MAX_TEXT_LENGTH = 256  # characters of a member's text fields
+KEPT_FIELDS = ("id", "host_port", "locality", "flavor", "cell", "phase", "size", "up_since_ms")
 
 
 class ListedBackend(NamedTuple):
@@ -21,7 +24,11 @@
     endpoint: Endpoint
     address: tuple[str, int]  # host and port; ("", 0) for a deleted backend
     start: BackendStart
-    member: dict[str, Any]  # the entry as it was received
+    member: dict[str, Any]  # the fields of the entry that this relay reads, as they were received
+
+
+class TooManyBackendsError(ValueError):
+    """A member that would exceed MAX_BACKENDS."""
 
 
 class _ParsedMembers(NamedTuple):
@@ -92,9 +99,14 @@
         """Parse the members. Invalid ones are described in `errors`."""
         context = self._read_context()
         listed, errors = list[ListedBackend](), list[str]()
+        names = set[str]() if is_complete else set(self.backends)
         for member in members:
             try:
-                listed.append(self._parse_member(member, context))
+                parsed = self._parse_member(member, context)
+                _update_names(names, parsed.endpoint)
+                listed.append(parsed)
+            except TooManyBackendsError as error:
+                errors.append(str(error))
             except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
                 errors.append(repr(error))
                 last_valid = self.backends.get(str(member.get("id"))) if isinstance(member, dict) else None
@@ -109,7 +121,7 @@
 
     def _merged(self, listed: list[ListedBackend], is_complete: bool) -> dict[str, ListedBackend]:
         """Return the backends after an update: a complete list replaces all, other entries are merged in."""
-        backends = {} if is_complete else dict(self.backends)
+        backends = {} if is_complete else self.backends
         for backend in listed:
             if backend.endpoint.state is BackendState.GONE:
                 backends.pop(backend.endpoint.backend, None)
@@ -127,6 +139,10 @@
 
     def _parse_member(self, member: Any, context: ListReadContext) -> ListedBackend:
         """Parse one member. Raises KeyError, TypeError, ValueError, AttributeError or OverflowError."""
+        kept = {name: member[name] for name in KEPT_FIELDS if name in member}
+        for name, value in kept.items():
+            if isinstance(value, dict | list) or isinstance(value, str) and len(value) > MAX_TEXT_LENGTH:
+                raise ValueError(f"{name} is no number, and no text of at most {MAX_TEXT_LENGTH} characters")
         state = STATES.get(member["phase"], BackendState.UNKNOWN)
         address = ("", 0) if state is BackendState.GONE else _parse_address(member["host_port"])
         weight = float(member.get("size") or 1.0)
@@ -145,7 +161,17 @@
             weight,
             start.at_us,
         )
-        return ListedBackend(endpoint, address, start, member)
+        return ListedBackend(endpoint, address, start, kept)
+
+
+def _update_names(names: set[str], endpoint: Endpoint) -> None:
+    """Add a backend to the names of those that are listed, or remove it. Raises TooManyBackendsError."""
+    if endpoint.state is BackendState.GONE:
+        names.discard(endpoint.backend)
+    elif endpoint.backend not in names:
+        if len(names) >= MAX_BACKENDS:
+            raise TooManyBackendsError(f"more than {MAX_BACKENDS} backends")
+        names.add(endpoint.backend)
 
 
 def _parse_address(host_port: Any) -> tuple[str, int]:
--- a/gradefront/net/health_checks.py
+++ b/gradefront/net/health_checks.py
@@ -128,10 +128,13 @@
             self.connector.disconnect()
 
     def _close_if_idle(self) -> None:
-        now_us = self.checker.core.clock()
-        if self.line_protocol and not self.pending_since_us and now_us - self.last_used_us > IDLE_TIMEOUT_US:
+        """Close the connection and forget it after IDLE_TIMEOUT_US without a check."""
+        if self.checker.connections.get(self.backend) is not self:
+            return
+        if not self.pending_since_us and self.checker.core.clock() - self.last_used_us > IDLE_TIMEOUT_US:
+            del self.checker.connections[self.backend]
             self.close()
-        if self.checker.connections.get(self.backend) is self:
+        else:
             self.checker.core.call_later(IDLE_TIMEOUT_US, self._close_if_idle)
 
 
--- a/gradefront/net/lines.py
+++ b/gradefront/net/lines.py
@@ -14,6 +14,7 @@
 from gradefront.core.connect_request import ConnectRequest
 
 MAX_LINE = 4096  # bytes, without the CRLF
+MAX_FIELDS = 64  # in a request line; each of them costs, and the platform defines a dozen
 MAX_TIMEOUT_MS = 4_294_967  # in microseconds it fits into 32 bits
 
 # Syntax of the lines that clients send. Anything else is rejected: if it were forwarded, it would invalidate the
@@ -96,6 +97,8 @@
 
 def _parse_fields(text: str) -> dict[str, str]:
     """Parse the fields of a request line by name. Raises InvalidLineError."""
+    if text.count(",") >= MAX_FIELDS:
+        raise InvalidLineError(f"request line has more than {MAX_FIELDS} fields")
     fields: dict[str, str] = {}
     for pair in text.split(","):
         name, equals, value = pair.partition("=")
