--- a/gradefront/state/handover_receiver.py
+++ b/gradefront/state/handover_receiver.py
@@ -28,6 +28,7 @@
 MAX_LAST_MESSAGES = 1_024  # read from one sender at close; more than the kernel queues
 MAX_MESSAGE_BYTES = MAX_HEADER_BYTES + MAX_SNAPSHOT_BYTES
 ANSWER_RETRY_S = 0.01
+MAX_UNSENT_ANSWERS = 16  # then nothing more is read from this sender
 #: Needed to read a message: for its sockets, and for the reactor's duplicates. What does not fit, the kernel closes.
 DESCRIPTORS_PER_MESSAGE = 2 * SOCKETS_PER_CONNECTION
 CALLS_PER_DESCRIPTOR = 2  # of `free_descriptor`: one answers a client, the next closes its connection
@@ -41,6 +42,7 @@
         self.receiver = receiver
         self.sock = sock
         self.unsent_answers: deque[HandoverAnswer] = deque()
+        self.is_retrying = False  # a call of `_retry_answers` is scheduled
 
     def fileno(self) -> int:
         """The descriptor to poll."""
@@ -53,6 +55,9 @@
     def doRead(self) -> None:
         """Read up to MAX_MESSAGES messages, while there are descriptors for their sockets."""
         for _ in range(MAX_MESSAGES):
+            if len(self.unsent_answers) >= MAX_UNSENT_ANSWERS:
+                self.receiver.reactor.removeReader(self)  # until `_retry_answers` has sent some
+                return
             if not self.receiver.has_descriptors(self, DESCRIPTORS_PER_MESSAGE) or not self._read_message():
                 return
 
@@ -94,8 +99,8 @@
         try:
             adopted = self.receiver.adopter.adopt(message, fds, is_truncated)
         except AdoptionError as error:
-            log.warning("cannot adopt a connection: %s", error)
-            self.receiver.core.counters.add("taken_over_badly")
+            core = self.receiver.core
+            core.counters.count_fault("taken_over_badly", f"cannot adopt a connection: {error}", core.clock())
             if message.number is None:
                 self.receiver.adopter.migrate_client(fds)
             else:
@@ -117,10 +122,20 @@
                 self.sock.send(self.unsent_answers[0].encode())
                 self.unsent_answers.popleft()
         except BlockingIOError:
-            self.receiver.reactor.callLater(ANSWER_RETRY_S, self.send_answers)
+            if not self.is_retrying:
+                self.is_retrying = True
+                self.receiver.reactor.callLater(ANSWER_RETRY_S, self._retry_answers)
         except OSError:  # the sender has ended, or has migrated these connections: it reads no more answers
             self.unsent_answers.clear()
 
+    def _retry_answers(self) -> None:
+        self.is_retrying = False
+        if self not in self.receiver.senders:
+            return
+        self.send_answers()
+        if len(self.unsent_answers) < MAX_UNSENT_ANSWERS:
+            self.receiver.reactor.addReader(self)
+
     def read_last(self) -> None:
         """Refuse further messages, read those already sent, and close."""
         refuse_more(self.sock)
--- a/tests/test_memory_bounds.py
+++ b/tests/test_memory_bounds.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import socket
+from pathlib import Path
 from typing import Any, cast
 
 import pytest
@@ -11,8 +13,12 @@
 from gradefront.net import endpoint_list
 from gradefront.net.endpoint_list import EndpointList
 from gradefront.net.health_checks import IDLE_TIMEOUT_US, BackendHealthChecker
+from gradefront.state.handover_messages import HandoverMessage
+from gradefront.state.handover_receiver import MAX_UNSENT_ANSWERS, HandoverReceiver
+from gradefront.state.handover_sockets import SOCKET_NAME
 
 from .helper import CLASS, Bench
+from .loop import Backend, Loop
 from .test_net_parts import CONFIG
 
 
@@ -99,3 +105,32 @@
 
     def disconnect(self) -> None:
         pass
+
+
+def test_a_sender_that_reads_no_answers_is_not_read_on(tmp_path: Path) -> None:
+    """Guards against answers, and timers for them, without end."""
+    loop = Loop(tmp_path, [Backend()])
+    receiver = HandoverReceiver(loop.core, loop.relay.client_factory, loop.reactor, tmp_path)
+    receiver.open()
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as sock:
+        sock.connect(str(tmp_path / SOCKET_NAME))
+        sock.setblocking(False)
+        sent, counts = 0, loop.core.counters.counts
+        for _ in range(1_200):
+            try:
+                sock.send(HandoverMessage(b"{}", sent, 1).encode())
+                sent += 1
+            except BlockingIOError:
+                loop.wait(20_000, 20_000)
+        (sender,) = receiver.senders
+        assert len(sender.unsent_answers) <= MAX_UNSENT_ANSWERS
+        assert len(loop.reactor.getDelayedCalls()) <= 4
+        answered, sock_is_empty = 0, False
+        while not sock_is_empty or counts["taken_over_badly"] < sent:
+            loop.wait(20_000, 20_000)
+            try:
+                sock_is_empty = False
+                answered += bool(sock.recv(512))
+            except BlockingIOError:
+                sock_is_empty = True
+        assert answered == sent, "each message is answered once the sender reads"
