--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -269,13 +269,16 @@
             if packet.kind is not Kind.INITIAL:
                 continue
             opened = self._open(packet, owner.first_id)
-            parts += hello_parts(opened.crypto) if opened else ()
-            if opened and opened.close_code is not None:
+            if opened is None:
+                self.count_drop("malformed")
+                return
+            parts += hello_parts(opened.crypto)
+            if opened.close_code is not None:
                 if owner.connection:
                     self.core.on_client_closed(owner.connection, ConnectionEnd.ORDERLY)
                 owner.discard()
                 return
-            if opened and owner.hello:
+            if owner.hello:
                 self._read_hello(owner, opened)
         owner.buffer_datagram(ClientDatagram(datagram, parts), client)
 
@@ -295,7 +298,11 @@
         again, the relay repeats the answer itself.
         """
         upstream = owner.upstream
-        repeated = ClientDatagram(datagram, self._hello_parts(owner, packets))
+        parts = self._hello_parts(owner, packets)
+        if parts is None:
+            self.count_drop("malformed")
+            return
+        repeated = ClientDatagram(datagram, parts)
         if upstream and upstream.sent.covers(repeated) and not upstream.attempt.may_send_again():
             self.count_drop("repeated")
             for answer in owner.first_answer:
@@ -305,10 +312,16 @@
             upstream.sent.add(repeated)
         self._forward_by_id(listener, owner.first_id, datagram, client)
 
-    def _hello_parts(self, owner: QuicClientConnection, packets: list[Packet]) -> tuple[range, ...]:
-        """Return the parts of the ClientHello in a datagram's Initials."""
-        initials = [self._open(packet, owner.first_id) for packet in packets if packet.kind is Kind.INITIAL]
-        return tuple(part for opened in initials if opened for part in hello_parts(opened.crypto))
+    def _hello_parts(self, owner: QuicClientConnection, packets: list[Packet]) -> tuple[range, ...] | None:
+        """Return the parts of the ClientHello in a datagram's Initials; None if one can't be decrypted or read."""
+        frames: list[tuple[int, bytes]] = []
+        for packet in packets:
+            if packet.kind is Kind.INITIAL:
+                opened = self._open(packet, owner.first_id)
+                if opened is None:
+                    return None
+                frames += opened.crypto
+        return hello_parts(frames)
 
     def _forward_by_id(self, listener: Listener, connection_id: bytes, datagram: bytes, client: Address) -> None:
         """Send an established connection's packet to its backend, whatever client address it arrives from."""
--- a/gradefront/quic/initials.py
+++ b/gradefront/quic/initials.py
@@ -21,6 +21,7 @@
 INVALID_TOKEN = 0x0B
 SAMPLE_LENGTH = 16  # octets sampled for header protection (RFC 9001 5.4.2)
 RANGE_COUNT_FIELD = 2  # index of the ACK Range Count field in an ACK frame (RFC 9000 19.3)
+MAX_CRYPTO_FRAMES = 64  # in one packet; real clients send a few
 MAX_CACHED_KEYS = 512  # derived keys kept in the cache, for pending connections
 
 SALTS = {
@@ -106,7 +107,9 @@
 
 
 def read_frames(payload: bytes) -> InitialPayload | None:
-    """Parse the frames that an Initial may contain (RFC 9000 12.4); None if there is any other frame, or no frame."""
+    """Parse the frames that an Initial may contain (RFC 9000 12.4).
+
+    None if there is any other frame, no frame, or more than MAX_CRYPTO_FRAMES: each of them costs."""
     crypto: list[tuple[int, bytes]] = []
     pos, acks, end = 0, False, len(payload)
     while pos < end:
@@ -129,6 +132,8 @@
                 return None
             pos = length[1] + length[0]
             crypto.append((offset[0], payload[length[1] : pos]))
+            if len(crypto) > MAX_CRYPTO_FRAMES:
+                return None
         elif kind in CONNECTION_CLOSE_TYPES:
             code = read_varint(payload, pos)
             return InitialPayload(code[0], tuple(crypto), acks) if code else None
--- a/gradefront/quic/sent_hello.py
+++ b/gradefront/quic/sent_hello.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 MAX_QUOTE_LENGTH = 64  # octets of a refused datagram that are compared; they include the connection ids
 MAX_TRACKED_DATAGRAMS = 64
+MAX_TRACKED_PARTS = 256  # with gaps between them
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,28 +25,28 @@
 
 
 def hello_parts(frames: Iterable[tuple[int, bytes]]) -> tuple[range, ...]:
-    """Return the offsets that CRYPTO frames, given as offset and data, cover."""
-    return tuple(range(offset, offset + len(data)) for offset, data in frames if data)
+    """Return the offsets that CRYPTO frames, given as offset and data, cover: ranges with gaps between them."""
+    return _merged(range(offset, offset + len(data)) for offset, data in frames if data)
 
 
 class SentHello:
-    """The datagrams that one attempt has sent to its backend, up to MAX_TRACKED_DATAGRAMS.
+    """The datagrams that one attempt has sent to its backend, up to MAX_TRACKED_DATAGRAMS and MAX_TRACKED_PARTS.
 
-    Beyond that limit nothing is proven, and each further part counts as a repetition.
+    Beyond these limits nothing is proven, and each further part counts as a repetition.
     """
 
     def __init__(self) -> None:
         self.has_repetition = False  # a part was sent twice
-        self._parts: list[range] = []
+        self._parts: tuple[range, ...] = ()  # ascending, with gaps between them
         self._quotes: dict[bytes, bool] = {}  # start of each datagram, and whether it contains a part
 
     def add(self, datagram: ClientDatagram) -> None:
         """Record a datagram that was sent."""
         if self._is_full:
             return
-        if any(_overlap(part, sent) for part in datagram.hello_parts for sent in self._parts):
+        if any(map(self._overlaps, datagram.hello_parts)):
             self.has_repetition = True
-        self._parts.extend(datagram.hello_parts)
+        self._parts = _merged((*self._parts, *datagram.hello_parts))
         quote = datagram.data[:MAX_QUOTE_LENGTH]
         # A long token can make two datagrams begin alike: then neither counts as containing a part.
         self._quotes[quote] = bool(datagram.hello_parts) and self._quotes.get(quote, True)
@@ -55,14 +57,15 @@
 
     @property
     def _is_full(self) -> bool:
-        return len(self._quotes) >= MAX_TRACKED_DATAGRAMS
+        return len(self._quotes) >= MAX_TRACKED_DATAGRAMS or len(self._parts) >= MAX_TRACKED_PARTS
 
     def _is_sent(self, part: range) -> bool:
-        start = part.start
-        for sent in sorted(self._parts, key=lambda sent: sent.start):
-            if sent.start <= start < sent.stop:
-                start = sent.stop
-        return start >= part.stop
+        index = bisect_right(self._parts, part.start, key=_start) - 1
+        return index >= 0 and part.stop <= self._parts[index].stop
+
+    def _overlaps(self, part: range) -> bool:
+        index = bisect_left(self._parts, part.stop, key=_start) - 1
+        return index >= 0 and part.start < self._parts[index].stop
 
     def may_include(self, quote: bytes) -> bool:
         """Return whether the datagram that begins with `quote` may be one of those sent."""
@@ -76,5 +79,16 @@
         return any(has_part and sent.startswith(quote) for sent, has_part in self._quotes.items())
 
 
-def _overlap(a: range, b: range) -> bool:
-    return a.start < b.stop and b.start < a.stop
+def _start(part: range) -> int:
+    return part.start
+
+
+def _merged(parts: Iterable[range]) -> tuple[range, ...]:
+    """Return the same offsets as ascending ranges with gaps between them."""
+    merged: list[range] = []
+    for part in sorted(parts, key=_start):
+        if merged and part.start <= merged[-1].stop:
+            merged[-1] = range(merged[-1].start, max(merged[-1].stop, part.stop))
+        else:
+            merged.append(part)
+    return tuple(merged)
