--- a/gradefront/listening.py
+++ b/gradefront/listening.py
@@ -79,7 +79,8 @@
         log.info("relay %s accepts clients on inherited descriptor %d", self.relay_name, self.inherited.fileno())
 
     def _known_endpoints(self) -> KnownEndpoints:
-        return KnownEndpoints(self.endpoint_list.document(), self.endpoint_list.heard_us_ago())
+        ids = tuple(self.client_factory.seen_ids)
+        return KnownEndpoints(self.endpoint_list.document(), self.endpoint_list.heard_us_ago(), ids)
 
     def accept_again(self) -> None:
         """Accept clients on the inherited listener, also after `stop`."""
--- a/gradefront/net/client_protocol.py
+++ b/gradefront/net/client_protocol.py
@@ -90,8 +90,9 @@
         client_factory = self.client_factory
         try:
             request, backend = parse_request_line(line, client_factory.config)
-            self.id = parse_connection_id(line)
-            client_factory.record_connection_id(self.id)
+            connection_id = parse_connection_id(line)
+            client_factory.record_connection_id(connection_id)
+            self.id = connection_id
         except InvalidLineError as error:
             # An error of a class that an earlier configuration had is still counted for that class.
             if error.request_class in client_factory.core.request_classes.names:
@@ -146,6 +147,7 @@
         """Release what the connection holds, and notify the core, after either side has closed it."""
         super().connectionLost(reason)
         self.client_factory.open_connections -= 1
+        self.client_factory.seen_ids.on_ended(self.id)
         self.client_factory.pre_request.pop(self, None)
         self.timeout.cancel()
         partial_line = self.take_partial_line()
--- a/gradefront/service.py
+++ b/gradefront/service.py
@@ -71,6 +71,7 @@
         previous = request_endpoints(handover_path) if handover_path else None
         startup.apply_known_endpoints(config, self.endpoint_list, previous)
         self.client_factory = startup.build_client_factory(config, core, self.endpoint_list, reactor)
+        self.client_factory.seen_ids.add_past(previous.ids if previous else ())
         self.client_listener = ClientListener(config, self.client_factory, self.endpoint_list, reactor, inherited)
         if inherited:
             core.lifecycle.on_ready = self.client_listener.listen_on_inherited
--- a/gradefront/state/endpoint_handover.py
+++ b/gradefront/state/endpoint_handover.py
@@ -30,11 +30,12 @@
     """An endpoint list that a process had.
 
     `document` is in discovery's format, and complete. `heard_us_ago`: microseconds since discovery was last heard of;
-    None if it never was.
+    None if it never was. `ids`: the connection ids that its clients have used.
     """
 
     document: dict[str, Any]
     heard_us_ago: int | None
+    ids: tuple[bytes, ...] = ()
 
     @property
     def revision(self) -> int:
@@ -74,12 +75,14 @@
     heard_us_ago = content["heard_us_ago"]
     if not isinstance(content["list"], dict):
         raise TypeError("the list is not an object")
-    return KnownEndpoints(content["list"], None if heard_us_ago is None else int(heard_us_ago))
+    ids = tuple(str(connection_id).encode() for connection_id in content.get("ids", ()))
+    return KnownEndpoints(content["list"], None if heard_us_ago is None else int(heard_us_ago), ids)
 
 
 def send_endpoints(sock: socket.socket, known: KnownEndpoints) -> None:
     """Answer a request with the endpoint list. If that fails, the requester does without it."""
-    content = json.dumps({"list": known.document, "heard_us_ago": known.heard_us_ago}).encode()
+    ids = [connection_id.decode("ascii") for connection_id in known.ids]
+    content = json.dumps({"list": known.document, "heard_us_ago": known.heard_us_ago, "ids": ids}).encode()
     with suppress(OSError), open(os.memfd_create("endpoints"), "wb", buffering=0) as file:
         file.write(content)
         socket.send_fds(sock, [ANSWER], [file.fileno()])
--- a/gradefront/state/handover_messages.py
+++ b/gradefront/state/handover_messages.py
@@ -2,12 +2,15 @@
 
 A process that answers handover messages says so in the address that its socket was bound to, which the sender can
 read. To such a process a message begins with a header line, and it is answered by one `HandoverAnswer`. A former
-process sends bare snapshots, and neither sends nor reads answers.
+process sends bare snapshots, and neither sends nor reads answers. Ids that clients have used are told in messages of
+their own.
 """
 
 from __future__ import annotations
 
+import binascii
 import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 HEADER = re.compile(rb"HANDOVER 2 ([0-9]{1,18}) ([0-9]{1,18})\n")
@@ -16,6 +19,11 @@
 MAX_REASON_LENGTH = 400  # characters
 ANSWER = re.compile(rb"(ADOPTED|REJECTED) ([0-9]{1,18})(?: ([ -~]*))?")
 
+IDS_HEADER = b"IDS 1\n"
+ID_BYTES = 8
+CONNECTION_ID = re.compile(rb"[0-9a-f]{16}")
+MAX_IDS = 2_048  # in one message
+
 
 class InvalidAnswerError(Exception):
     """An answer that is not in the form of `HandoverAnswer`."""
@@ -44,6 +52,19 @@
     return HandoverMessage(data[header.end() :], int(header[1]), int(header[2]))
 
 
+def encode_ids(ids: Iterable[bytes]) -> bytes:
+    """Return a message that tells ids, in hexadecimal, which clients of the sender have used. It gets no answer."""
+    return IDS_HEADER + b"".join(binascii.unhexlify(known) for known in ids if CONNECTION_ID.fullmatch(known))
+
+
+def decode_ids(data: bytes) -> list[bytes] | None:
+    """Return the ids that a message tells, or None if it is another message."""
+    if not data.startswith(IDS_HEADER):
+        return None
+    ids = data[len(IDS_HEADER) :]
+    return [ids[start : start + ID_BYTES].hex().encode() for start in range(0, len(ids) - ID_BYTES + 1, ID_BYTES)]
+
+
 @dataclass(frozen=True, slots=True)
 class HandoverAnswer:
     """Whether the receiver has adopted the connection of message `number`, and if not, why."""
--- a/gradefront/state/handover_receiver.py
+++ b/gradefront/state/handover_receiver.py
@@ -19,7 +19,7 @@
 from .endpoint_handover import REQUEST as ENDPOINTS_REQUEST
 from .endpoint_handover import KnownEndpoints, send_endpoints
 from .form import MAX_SNAPSHOT_BYTES
-from .handover_messages import MAX_HEADER_BYTES, HandoverAnswer, decode_message
+from .handover_messages import MAX_HEADER_BYTES, HandoverAnswer, decode_ids, decode_message
 from .handover_sockets import MAX_SENDERS, SOCKET_NAME, has_listener, is_same_user, listen_as_newest, refuse_more
 
 log = logging.getLogger("gradefront.handover")
@@ -84,6 +84,9 @@
         if data == ENDPOINTS_REQUEST and self.receiver.known_endpoints:
             send_endpoints(self.sock, self.receiver.known_endpoints())
             return True
+        if not fds and (ids := decode_ids(data)) is not None:
+            self.receiver.client_factory.seen_ids.add_past(ids)
+            return True
         try:
             self._on_message(data, fds, bool(flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC)))
         except Exception:  # a fault must affect this connection only
--- a/gradefront/state/handover_sender.py
+++ b/gradefront/state/handover_sender.py
@@ -9,9 +9,11 @@
 
 import logging
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
+from itertools import islice
 
 from gradefront.core.adopted import release_for_handover
 from gradefront.core.connection import Connection, ConnectionState
@@ -22,7 +24,14 @@
 from gradefront.net.reactor import Reactor
 
 from .form import ConnectionSnapshot, encode_snapshot, stored_rules
-from .handover_messages import MAX_ANSWER_BYTES, HandoverMessage, InvalidAnswerError, decode_answer
+from .handover_messages import (
+    MAX_ANSWER_BYTES,
+    MAX_IDS,
+    HandoverMessage,
+    InvalidAnswerError,
+    decode_answer,
+    encode_ids,
+)
 from .handover_sockets import close_own_descriptor, has_sent_all
 
 log = logging.getLogger("gradefront.handover")
@@ -78,6 +87,8 @@
         self.sock: socket.socket | None = sock
         self.on_failed = on_failed
         self.unanswered: dict[int, _SentConnection] = {}  # by number of the connection
+        self.untold_ids = deque(client_factory.seen_ids)  # that the newest process has not been told
+        client_factory.seen_ids.on_added = self.untold_ids.append
         self.not_sendable: set[int] = set()  # connections that the receiver rejected, or that could not be sent
         reactor.addReader(self)
 
@@ -85,6 +96,7 @@
 
     def step(self) -> None:
         """Hand over up to STEP_CONNECTIONS connections; repeat every STEP_US while any client is left."""
+        self._tell_ids()
         sent = 0
         for connection in list(self.core.connections.values()):
             if self.sock is None or sent == STEP_CONNECTIONS or len(self.unanswered) >= MAX_UNANSWERED:
@@ -96,6 +108,23 @@
         else:
             self.close()
 
+    def _tell_ids(self) -> None:
+        """Tell the newest process which ids clients have used, as far as it takes them now.
+
+        Prevents a request from being executed again if its client, or another one, repeats its id there.
+        """
+        while self.sock and self.untold_ids:
+            ids = list(islice(self.untold_ids, MAX_IDS))
+            try:
+                self.sock.send(encode_ids(ids))
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self._fail(error)
+                return
+            for _ in ids:
+                self.untold_ids.popleft()
+
     def close(self) -> None:
         """Stop handing over connections. Those without an answer stay this process's."""
         if self.sock is None:
@@ -103,6 +132,7 @@
         self.reactor.removeReader(self)
         self.sock.close()
         self.sock = None
+        self.client_factory.seen_ids.on_added = None
         unanswered, self.unanswered = self.unanswered, {}
         for sent in unanswered.values():
             self._contain(sent, sent.resume)
@@ -225,6 +255,7 @@
         close_own_descriptor(sent.client.tcp)
         close_own_descriptor(sent.backend.tcp)
         self.client_factory.open_connections -= 1
+        self.client_factory.seen_ids.on_ended(sent.client.id)
         sent.client.closing, sent.upstream.gone = True, True
         release_for_handover(self.core, sent.connection)
 
--- a/tests/test_handover_answers.py
+++ b/tests/test_handover_answers.py
@@ -15,6 +15,7 @@
     HandoverMessage,
     InvalidAnswerError,
     decode_answer,
+    decode_ids,
     decode_message,
 )
 from gradefront.state.handover_receiver import HandoverReceiver
@@ -36,14 +37,20 @@
         ours, self.receiver = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         ours.setblocking(False)
         self.receiver.settimeout(10)
+        self.told_ids = list[bytes]()
         self.sender = HandoverSender(
             self.loop.core, self.loop.relay.client_factory, self.loop.reactor, ours, lambda: None
         )
 
     def receive(self) -> tuple[HandoverMessage, list[int]]:
-        """Receive the next message and its descriptors."""
-        data, fds, _, _ = socket.recv_fds(self.receiver, 1 << 16, 4)
-        return decode_message(data), list(fds)
+        """Receive the next connection's message and its descriptors. Ids told before it are added to `told_ids`."""
+        while True:
+            data, fds, _, _ = socket.recv_fds(self.receiver, 1 << 16, 4)
+            ids = decode_ids(data)
+            if ids is None:
+                return decode_message(data), list(fds)
+            assert not fds
+            self.told_ids += ids
 
     def answer(self, number: int | None, is_adopted: bool) -> None:
         """Answer a message, and let the relay read that."""
