--- a/lab/hostile.py
+++ b/lab/hostile.py
@@ -3,7 +3,8 @@
 `python -m lab.hostile [--tree TREE] [--seconds S] [KIND ...]` plays kinds of `lab.hostile_peers` (all by default) one
 after the other, each with a relay process of its own, and prints a Markdown row for each: the slowest answer to a
 usual client's line and to a new client's request while calm, during the play and in the 5 s after it, the process's
-memory before the play, at its peak and after it, and its CPU share during the play.
+memory before the play, at its peak and after it, its CPU share during the play, and how many requests were sent on
+over 0.1 s after their client had closed, or were sent to backends twice.
 """
 
 from __future__ import annotations
@@ -33,12 +34,25 @@
 STANDING_CLIENTS = 3
 LINE_INTERVAL_S, REQUEST_INTERVAL_S = 0.05, 0.1
 GIVE_UP_S = 5.0
+MAX_LATE_S = 0.1  # from a client's close until the last moment at which its request may be sent on
 HEADER = (
     "| kind | slowest line, ms: calm, during, after | slowest request, ms | not answered | memory, MB: before, peak,"
-    " after | CPU | made |\n| --- | --- | --- | --- | --- | --- | --- |"
+    " after | CPU | made | sent on late | twice |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
 )
 
 
+class RecordingBackend(StandInBackend):
+    """A backend that records when each request line came, by connection id."""
+
+    def __init__(self, came_s: dict[str, list[float]]) -> None:
+        super().__init__(self._answer)
+        self.came_s = came_s
+
+    def _answer(self, line: str) -> str:
+        self.came_s.setdefault(line.split()[1], []).append(time.monotonic())
+        return "UP r-1"
+
+
 @dataclass
 class Phase:
     """What the usual clients saw in one phase. Times are in seconds."""
@@ -124,11 +138,13 @@
 
 
 @asynccontextmanager
-async def relay(kind: str, tree: Path, seconds: float) -> AsyncIterator[tuple[Program, asyncio.subprocess.Process]]:
+async def relay(
+    kind: str, tree: Path, seconds: float, came_s: dict[str, list[float]]
+) -> AsyncIterator[tuple[Program, asyncio.subprocess.Process]]:
     """Start a relay with three backends, and the hostile peers."""
     way = kind.split("-")[0]
     discovery: Any = Discovery()
-    backends = [StandInBackend(lambda _: "UP r-1") for _ in range(3)]
+    backends = [RecordingBackend(came_s) for _ in range(3)]
     quic_backends = [QuicBackend(f"box-{n}", bytes([7, n])) for n in range(3)] if way == "quic" else []
     for number, backend in enumerate(backends):
         discovery.add(f"box-{number}", await backend.open())
@@ -182,7 +198,8 @@
 
 async def play(kind: str, tree: Path, seconds: float) -> str:
     """Play one kind and return its row."""
-    async with relay(kind, tree, seconds) as (running, peers):
+    came_s: dict[str, list[float]] = {}
+    async with relay(kind, tree, seconds, came_s) as (running, peers):
         pid = running.process.pid
         await asyncio.sleep(0.5)
         clients = UsualClients(running.ports[0])
@@ -192,7 +209,7 @@
         before_mb, before_s = memory_mb(pid, "VmRSS"), cpu_s(pid)
         clients.phase = Phase()
         phases.append(clients.phase)
-        made = (await soon(peers.communicate(b"\n")))[0].decode().strip()
+        outcome = json.loads((await soon(peers.communicate(b"\n")))[0])
         used = (cpu_s(pid) - before_s) / seconds if running.process.returncode is None else 0.0
         clients.phase = Phase()
         phases.append(clients.phase)
@@ -200,15 +217,21 @@
         await clients.end()
         if running.process.returncode is not None:
             return f"| {kind} | the process has ended with {running.process.returncode} |"
-        lines, requests, unanswered = (
-            ", ".join(figures)
-            for figures in zip(
-                *((f"{max(p.lines) * 1e3:.0f}", f"{max(p.requests) * 1e3:.0f}", f"{p.unanswered}") for p in phases),
-                strict=True,
-            )
-        )
         memory = f"{before_mb:.0f}, {memory_mb(pid, 'VmHWM'):.0f}, {memory_mb(pid, 'VmRSS'):.0f}"
-        return f"| {kind} | {lines} | {requests} | {unanswered} | {memory} | {used:.2f} | {made} |"
+    closed_s = outcome["closed_s"]
+    late = sum(any(at_s - closed_s.get(name, at_s) > MAX_LATE_S for at_s in times) for name, times in came_s.items())
+    twice = sum(len(times) > 1 for times in came_s.values())
+    cells = (kind, *phase_cells(phases), memory, f"{used:.2f}", outcome["made"], late, twice)
+    return f"| {' | '.join(map(str, cells))} |"
+
+
+def phase_cells(phases: list[Phase]) -> tuple[str, str, str]:
+    """Return the slowest lines, the slowest requests and the number of unanswered ones, each for all phases."""
+    return (
+        ", ".join(f"{max(phase.lines) * 1e3:.0f}" for phase in phases),
+        ", ".join(f"{max(phase.requests) * 1e3:.0f}" for phase in phases),
+        ", ".join(str(phase.unanswered) for phase in phases),
+    )
 
 
 async def main(kinds: list[str], tree: Path, seconds: float) -> None:
--- a/lab/hostile_peers.py
+++ b/lab/hostile_peers.py
@@ -2,12 +2,14 @@
 
 `python -m lab.hostile_peers KIND TARGET SECONDS` runs one kind, from when it can read a line on standard input, and
 prints how many connections or messages it made. TARGET is a port on loopback, or the path of the handover socket. A
-kind that plays discovery listens on the port, and until then serves the list in the variable ENDPOINT_LIST.
+kind that plays discovery listens on the port, and until then serves the list in the variable ENDPOINT_LIST. What it
+prints is JSON, with the times at which clients closed.
 """
 
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import socket
 import sys
@@ -45,13 +47,17 @@
 
 
 class Until:
-    """The end of a play, and what was made until then."""
+    """The end of a play, and what was made until then.
+
+    `closed_s`: when clients closed, by connection id, on the monotonic clock.
+    """
 
     def __init__(self, seconds: float) -> None:
         self.seconds = seconds
         self.begun = asyncio.Event()
         self.end_s = 0.0
         self.made = 0
+        self.closed_s: dict[str, float] = {}
 
     def begin(self) -> None:
         """Begin the play."""
@@ -150,6 +156,29 @@
     await reader.readline()
 
 
+async def close_with_unread_data(_: asyncio.StreamReader, writer: asyncio.StreamWriter, until: Until) -> None:
+    """Send a request and most of another line, and close at once, every second time with a reset."""
+    line = request()
+    writer.write(line + b"y" * 3_900)
+    if until.made % 2:
+        linger = b"\1\0\0\0\0\0\0\0"
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.close()
+    until.closed_s[line.split()[1].decode()] = time.monotonic()
+
+
+async def come_again_under_an_id(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, until: Until) -> None:
+    """Establish a connection, leave, and come again with the same request."""
+    line = request()
+    writer.write(line)
+    await reader.readline()
+    writer.close()
+    _, again = await asyncio.open_connection(*writer.get_extra_info("peername")[:2])
+    again.write(line)
+    await until.pause(RETRY_S)
+    again.close()
+
+
 def admin_call(command: bytes) -> Talk:
     """Return a talk that sends one admin command."""
 
@@ -293,6 +322,8 @@
     "lines-b-standing": crowd(send_lines_on_standing_connection, 1),
     "lines-b-unsound": crowd(send_unsound_lines, 1),
     "lines-b-names": crowd(come_under_new_names, 1),
+    "lines-c-unread": crowd(close_with_unread_data, 50),
+    "lines-c-again": crowd(come_again_under_an_id, 20),
     "admin-a-slow": crowd(write_slowly),
     "admin-a-half": crowd(stop_half_way),
     "admin-b-info": crowd(admin_call(b"INFO\n"), 1),
@@ -321,7 +352,7 @@
     await asyncio.to_thread(sys.stdin.readline)
     until.begin()
     await (discovery_play or KINDS[kind](target, until))
-    print(until.made)
+    print(json.dumps({"made": until.made, "closed_s": until.closed_s}))
 
 
 if __name__ == "__main__":
