--- a/gradefront/core/attempt_outcome.py
+++ b/gradefront/core/attempt_outcome.py
@@ -23,6 +23,7 @@
     BROKEN = "broken"  # refused, reset or closed without a response; also vetoed: backend draining or not listed
     UNREACHABLE = "unreachable"  # nothing listens at its address, or none is known: it never received the request
     TIMED_OUT = "silent"  # the backend did not connect, respond or reply in time
+    INCOMPLETE_REQUEST = "incomplete"  # as TIMED_OUT, but the client has not sent a complete and valid request
     REJECTED = "full"  # the backend rejected the request without reading it
     ERROR = "error"  # the backend answered with an error
     COMPLETED = "served"  # the backend closed the established connection in an orderly way
@@ -58,6 +59,7 @@
 
 _RESULT_IN_ANY_PHASE = {
     Cause.UNREACHABLE: AttemptResult.CONNECT_FAILED,
+    Cause.INCOMPLETE_REQUEST: AttemptResult.CANCELLED,
     Cause.REJECTED: AttemptResult.OVERLOADED,
     Cause.ERROR: AttemptResult.ERROR,
     Cause.COMPLETED: AttemptResult.OK,
--- a/gradefront/core/attempts.py
+++ b/gradefront/core/attempts.py
@@ -7,7 +7,6 @@
 
 import logging
 from collections.abc import Callable
-from functools import partial
 from typing import Protocol
 
 from balancer.actions import StartAttempt
@@ -22,7 +21,7 @@
 )
 
 from .answers import Answers
-from .attempt_outcome import AttemptOutcome, AttemptPhase, Cause
+from .attempt_outcome import AttemptOutcome, AttemptPhase
 from .connection import Attempt, AttemptOwner, Connection, ConnectionState
 from .ports import ConnectionEnd
 from .request_log import RequestLog
@@ -100,7 +99,7 @@
         connect_by_us = expires_us
         if not connection.adopted_backend:
             connect_by_us = min(expires_us, attempt.started_us + connection.settings.connect_timeout_us)
-        attempt.timer = core.timers.set(connect_by_us, partial(attempt.end, Cause.TIMED_OUT))
+        attempt.timer = core.timers.set(connect_by_us, attempt.on_timeout)
         attempt.upstream = connection.connector.connect(attempt, connection.connect_request.request_line)
         if attempt.is_over:  # ended during `connect`, when its upstream connection was not set yet
             attempt.upstream.close(ConnectionEnd.ORDERLY)
@@ -113,7 +112,7 @@
             core.counters.add("sends_total")
         if attempt.phase is AttemptPhase.WRITING and attempt.timer:
             attempt.timer.cancel()
-            attempt.timer = core.timers.set(attempt.expires_us, partial(attempt.end, Cause.TIMED_OUT))
+            attempt.timer = core.timers.set(attempt.expires_us, attempt.on_timeout)
             core.wake()
 
     def on_succeeded(self, attempt: Attempt, response_line: object) -> None:
--- a/gradefront/core/connection.py
+++ b/gradefront/core/connection.py
@@ -214,6 +214,7 @@
         "write_started_us",
         "slow_start",
         "send_by_us",
+        "is_request_complete",
     )
 
     def __init__(self, core: AttemptOwner, connection: Connection, backend: str, expires_us: int) -> None:
@@ -230,6 +231,7 @@
         self.timer: Timer | None = None
         self.upstream: BackendConnection | None = None
         self.is_over = False
+        self.is_request_complete = True  # cleared while the client has not sent all that a backend needs to answer
         self.connection_load = 0.0  # the connection's last reported load, in us of work per second; 0: no report
         self.load_report: LoadReport | None = None  # the backend's own load, from its final response
         self.awaiting_reply_us: deque[int] = deque(maxlen=16)  # send times of the messages that await a reply
@@ -291,6 +293,14 @@
         if not self.is_over:
             self.core.attempts.on_ended(self, AttemptOutcome(self.phase, cause), ending)
 
+    def on_timeout(self) -> None:
+        """End the attempt, because the backend has not answered in time.
+
+        That is no failure of the backend if it never got a complete request. Prevents clients that send none from
+        having backends ejected.
+        """
+        self.end(Cause.TIMED_OUT if self.is_request_complete else Cause.INCOMPLETE_REQUEST)
+
     def on_message_sent(self) -> None:
         """Record a message from the client that requires a reply from the backend."""
         self.awaiting_reply_us.append(self.core.clock())
--- a/gradefront/quic/connections.py
+++ b/gradefront/quic/connections.py
@@ -91,7 +91,8 @@
         self.last_id = b""  # the id chosen by the backend that the client used most recently
         self.buffered: list[ClientDatagram] = []
         self.first_answer: tuple[bytes, ...] = ()  # the backend's, while the client may have missed it
-        self.hello: HelloReader | None = None
+        self.hello: HelloReader | None = HelloReader()  # None once the ClientHello is complete or known to be invalid
+        self.has_complete_hello = False  # a complete and valid one
         self.ids: OrderedDict[bytes, None] = OrderedDict()
         self.paths: dict[Address, Path] = {}
         self.adopted_path: Path | None = None  # the path without a connection that this connection was created for
@@ -141,6 +142,7 @@
         if all(kept.data != datagram.data for kept in self.buffered):
             self.buffered = [*self.buffered[:1], *self.buffered[1:][-MAX_BUFFERED_DATAGRAMS + 2 :], datagram]
         if self.upstream:
+            self.upstream.attempt.is_request_complete = self.has_complete_hello
             self.upstream.send(datagram, client)
 
     def read_hello(self, opened: InitialPayload) -> tuple[str, tuple[str, ...]] | None:
@@ -152,6 +154,7 @@
             for offset, piece in opened.crypto:
                 self.hello.take(offset, piece)
             found = self.hello.hello()
+            self.has_complete_hello = found is not None
         except InvalidHelloError:
             found = ("", ())  # type: ignore[assignment]
         if found is not None:
@@ -229,6 +232,7 @@
         self.front = front
         self.owner = owner
         self.attempt = attempt
+        attempt.is_request_complete = owner.has_complete_hello
         self.sent = SentHello()
         self.early_datagrams: list[bytes] = []
 
@@ -324,6 +328,7 @@
         front, path.listener, path.client, path.last_id, path.client_id if path.is_direct else b"", 0
     )
     owner.adopted_path = path
+    owner.has_complete_hello = True
     owner.confirmed = True
     owner.last_id = path.last_id
     return owner
--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -33,7 +33,6 @@
     stateless_reset,
     version_negotiation,
 )
-from .hello import HelloReader
 from .ids import UNROUTABLE
 from .initials import INVALID_TOKEN, InitialPayload, busy_reason, close_initial, make_retry, open_initial
 from .listener import Listener
@@ -225,11 +224,9 @@
         self.admission.add_pending(network)
         self.connections[owner] = None
         owner.buffered.append(ClientDatagram(datagram, hello_parts(opened.crypto)))
-        if self.quic.class_of_protocol or self.quic.class_of_name:
-            owner.hello = HelloReader()
-            self._read_hello(owner, opened)
-            if owner.connection is None:
-                self.core.call_later(HELLO_TIMEOUT_US, lambda: self._submit(owner, listener.class_name))
+        self._read_hello(owner, opened)
+        if owner.connection is None and (self.quic.class_of_protocol or self.quic.class_of_name):
+            self.core.call_later(HELLO_TIMEOUT_US, lambda: self._submit(owner, listener.class_name))
         else:
             self._submit(owner, listener.class_name)
         return owner
@@ -258,7 +255,6 @@
             return
         waited_us = self.now() - owner.created_us
         timeout_us = max(1, self.config.settings.classes[request_class].deadline_us - waited_us)
-        owner.hello = None
         owner.connection = self.core.accept(ConnectRequest(timeout_us, owner, request_class), owner, self)
 
     def _on_pending_datagram(
