--- a/gradefront/net/endpoint_watch_call.py
+++ b/gradefront/net/endpoint_watch_call.py
@@ -54,6 +54,8 @@
         self.ended = False
         self.connector: Any = None
         self.timeout_us = timeout_us
+        self.started_us = owner.core.clock()
+        self.has_heartbeat = False
         self.timeout: Timer = self._start_timeout(self.timeout_us)
 
     @property
@@ -70,6 +72,17 @@
         """Fail the call, because the connection was not established."""
         self.fail("discovery refused the connection")
 
+    def on_bytes_received(self) -> None:
+        """Restart the timeout for the first heartbeat, but not beyond HEARTBEAT_TIMEOUT_US after the call's start.
+
+        Prevents a list that comes in pieces from never being taken, where the timeout is shorter than its transfer.
+        """
+        now_us = self.owner.core.clock()
+        if self.ended or self.has_heartbeat or now_us + self.timeout_us > self.started_us + HEARTBEAT_TIMEOUT_US:
+            return
+        self.timeout.cancel()
+        self.timeout = self._start_timeout(self.timeout_us)
+
     def on_heartbeat(self) -> None:
         """Restart the timeout after a complete object or an empty line.
 
@@ -80,6 +93,7 @@
         self.owner.endpoint_list.on_heartbeat()
         self.timeout.cancel()
         self.was_rechecked = False
+        self.has_heartbeat = True
         self.timeout_us = HEARTBEAT_TIMEOUT_US
         self.timeout = self._start_timeout(self.timeout_us)
 
--- a/gradefront/net/endpoint_watch_protocol.py
+++ b/gradefront/net/endpoint_watch_protocol.py
@@ -33,6 +33,9 @@
     def revision(self) -> int:
         """Revision of the current endpoint list."""
 
+    def on_bytes_received(self) -> None:
+        """Handle that a part of the response has arrived."""
+
     def add_data(self, data: bytes) -> None:
         """Add bytes of the response body."""
 
@@ -63,6 +66,11 @@
             f"Host: {host}:{port}\r\nAccept: application/json\r\n\r\n".encode()
         )
 
+    def dataReceived(self, data: bytes) -> None:
+        """Handle received bytes."""
+        self.call.on_bytes_received()
+        super().dataReceived(data)
+
     def handle_next(self) -> bool:
         """Handle the next object, else take the next line or part of the body."""
         return self.call.handle_next_object() or self._take_next() or self._search_body()
