Forget send slots that have passed although no request waits for one

Cause: the index of slots that may be reserved was cleaned only when a request looked for its next slot; while backends are in slow start and none does, it grew with each period.

Change: passed slots are removed as a new period begins.

--- a/balancer/slot_index.py
+++ b/balancer/slot_index.py
@@ -115,6 +115,8 @@
         period = now_us // self._period_us
         if period != self._period:
             backends = list(self._backends.values())
+            while self._unreserved and self._unreserved[0].start_us <= now_us:
+                heappop(self._unreserved)
         else:
             backends = [backend for backend in self._new if self._is_current(backend)]
         self._period, self._new = period, []
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -13,6 +13,8 @@
 import pytest
 
 from balancer.hash_ring import HashRing
+from balancer.send_slots import SendSlot
+from balancer.slot_index import SlotIndex, WarmingBackend
 from benchmarks.placement_scale import REQUEST_INTERVAL_US, Fleet
 
 SMALL, LARGE = 60, 3_200
@@ -84,3 +86,21 @@
         assert changed._buckets == fresh._buckets and changed.mean_weight == fresh.mean_weight
         for point in range(0, 1 << 32, 1 << 26):
             assert changed.backend_at(point) == fresh.backend_at(point)
+
+
+def test_slots_that_have_passed_are_forgotten() -> None:
+    """Guards against memory growth while backends are in slow start and no request waits for a slot."""
+    index = SlotIndex(1_000_000, lambda backend: slots_of(backend, now_us), lambda started_us: False)
+    for number in range(50):
+        index.set_backend(f"s{number}", 1, number)
+    sizes = list[int]()
+    for now_us in range(10_000_000, 60_000_000, 300_000):
+        assert len(index.open_slots(now_us)) == 50
+        sizes.append(len(index._unreserved) + len(index._upcoming) + len(index._opened))
+    assert max(sizes) <= 50 * 3 * 3
+
+
+def slots_of(backend: WarmingBackend, now_us: int) -> list[SendSlot]:
+    period = now_us // 1_000_000
+    starts = [number * 1_000_000 for number in (period - 1, period, period + 1)]
+    return [SendSlot(backend.name, start, start + 1_000_000) for start in starts]
