--- a/lab/hostile.py
+++ b/lab/hostile.py
@@ -14,6 +14,7 @@
 import json
 import logging
 import os
+import random
 import socket
 import sys
 import tempfile
@@ -108,7 +109,7 @@
                 client.writer.close()
             self.phase.requests.append(time.monotonic() - began_s)
             self.phase.unanswered += not answer.startswith("UP")
-            await asyncio.sleep(REQUEST_INTERVAL_S)
+            await asyncio.sleep(random.uniform(0.5, 1.5) * REQUEST_INTERVAL_S)
 
 
 def memory_mb(pid: int, name: str) -> float:
