Send the Initials of adopted QUIC connections on by their id

An adopted connection's first id is one that its backend chose, so its Initials, as of a handshake that a restart of the relay met, were dropped.

Change: only an id that the client's first Initial had counts.

--- a/gradefront/quic/connections.py
+++ b/gradefront/quic/connections.py
@@ -113,6 +113,10 @@
         """Whether an attempt is in flight."""
         return self.connection is not None and self.connection.state is ConnectionState.CONNECTING
 
+    def is_first_id(self, connection_id: bytes) -> bool:
+        """Return whether an id is the one that the client's first Initial had, from which its keys are derived."""
+        return connection_id == self.first_id and self.adopted_path is None
+
     def add_id(self, connection_id: bytes) -> None:
         """Add an id to this connection; beyond MAX_IDS_PER_CONNECTION the oldest but the first is dropped."""
         if connection_id not in self.ids:
--- a/gradefront/quic/front.py
+++ b/gradefront/quic/front.py
@@ -98,7 +98,7 @@
             self._on_initial(listener, packets, datagram, client)
         elif owner and not owner.is_established:
             self._on_pending_datagram(owner, packets, datagram, client)
-        elif owner and first.kind is Kind.INITIAL and first.to_id == owner.first_id:
+        elif owner and first.kind is Kind.INITIAL and owner.is_first_id(first.to_id):
             self._on_repeated_initial(listener, owner, packets, datagram, client)
         elif owner or first.kind is Kind.HANDSHAKE:
             self._forward_by_id(listener, first.to_id, datagram, client)
--- a/tests/test_quic_executed.py
+++ b/tests/test_quic_executed.py
@@ -171,6 +171,18 @@
         request.front.close()
 
 
+def test_an_initial_of_an_adopted_connection_is_sent_on_by_its_id(answered: Any) -> None:
+    """Guards against a handshake that a restart of the relay cuts off: its keys derive from an id that is unknown."""
+    request = answered(**UNSAFE)
+    (owner,) = request.front.connections
+    (owner.adopted_path,) = owner.paths.values()
+    first_id, request.first_id = request.first_id, os.urandom(8)
+    sealed = seal_initial(1, request.first_id, first_id, request.client_id, HELLO.ljust(1_160, b"\0"), True)
+    request.client.sendto(sealed, request.front.listeners[0].address)
+    request.serve()
+    assert [data for data, _ in read_all(request.backend)] == [sealed]
+
+
 def test_executed_requests_are_bounded_and_expire() -> None:
     """Guards against memory growth under requests with ever new ids."""
     executed = ExecutedRequests()
