Take lists however long their transfer, and up to the largest of the pages

Cause: the time until a first whole object, and between two, had an end whatever came of it; the bound of an object, 1 MiB, is under the 1.28 MB of 3,200 backends with every field indented by eight.

Change: the time begins anew whenever 1,024 characters of an object have come. The bound is that of 8,192 backends at 512 characters; what is over it has a log line and a counter, list_objects_too_long. The text that is received grows in place.

--- a/gradefront/net/endpoint_watch_call.py
+++ b/gradefront/net/endpoint_watch_call.py
@@ -13,13 +13,14 @@
 
 from .endpoint_list import EndpointList
 from .endpoint_watch_protocol import EndpointWatchProtocol
-from .objects import JsonObjectReader
+from .objects import JsonObjectReader, ObjectTooLongError
 
 log = logging.getLogger("gradefront.endpoint_watch")
 
 # Discovery sends an empty line every 2 s. An update is in force after `start_times.DISCOVERY_DELAY_US`, even if it
 # was not received.
 HEARTBEAT_TIMEOUT_US = 3_000_000
+MIN_PROGRESS_CHARACTERS = 1_024  # of an object, within HEARTBEAT_TIMEOUT_US; less does not keep a call open
 RECHECK_DELAY_US = 20_000  # lets a delayed event loop read data that has already arrived
 
 
@@ -54,8 +55,8 @@
         self.ended = False
         self.connector: Any = None
         self.timeout_us = timeout_us
-        self.started_us = owner.core.clock()
-        self.has_heartbeat = False
+        self.progress_started_us = owner.core.clock()  # start of the call, last heartbeat or last progress
+        self.progress_start_characters = 0  # of the next object, received up to then
         self.timeout: Timer = self._start_timeout(self.timeout_us)
 
     @property
@@ -73,15 +74,26 @@
         self.fail("discovery refused the connection")
 
     def on_bytes_received(self) -> None:
-        """Restart the timeout for the first heartbeat, but not beyond HEARTBEAT_TIMEOUT_US after the call's start.
+        """Restart the timeout while a part of an object is being received.
 
-        Prevents a list that comes in pieces from never being taken, where the timeout is shorter than its transfer.
+        Any bytes count for HEARTBEAT_TIMEOUT_US after the call's start, the last heartbeat or the last progress, then
+        only progress does, so that a list is taken however long its transfer, and single bytes keep no call open.
         """
-        now_us = self.owner.core.clock()
-        if self.ended or self.has_heartbeat or now_us + self.timeout_us > self.started_us + HEARTBEAT_TIMEOUT_US:
+        if self.ended:
             return
-        self.timeout.cancel()
-        self.timeout = self._start_timeout(self.timeout_us)
+        if self._has_progress():
+            self._start_progress()
+        latest_us = self.progress_started_us + max(HEARTBEAT_TIMEOUT_US, self.timeout_us)
+        if self.owner.core.clock() + self.timeout_us <= latest_us:
+            self.timeout.cancel()
+            self.timeout = self._start_timeout(self.timeout_us)
+
+    def _has_progress(self) -> bool:
+        return self.reader.pending_characters - self.progress_start_characters >= MIN_PROGRESS_CHARACTERS
+
+    def _start_progress(self) -> None:
+        self.progress_started_us = self.owner.core.clock()
+        self.progress_start_characters = self.reader.pending_characters
 
     def on_heartbeat(self) -> None:
         """Restart the timeout after a complete object or an empty line.
@@ -93,7 +105,7 @@
         self.owner.endpoint_list.on_heartbeat()
         self.timeout.cancel()
         self.was_rechecked = False
-        self.has_heartbeat = True
+        self._start_progress()
         self.timeout_us = HEARTBEAT_TIMEOUT_US
         self.timeout = self._start_timeout(self.timeout_us)
 
@@ -126,6 +138,11 @@
             document = self.reader.next_object()
             if document is not None:
                 self._on_document(document)
+        except ObjectTooLongError as error:
+            core = self.owner.core
+            core.counters.count_fault("list_objects_too_long", f"endpoint list: {error}", core.clock())
+            self._fail_invalid(error)
+            return False
         except ValueError as error:
             self._fail_invalid(error)
             return False
--- a/gradefront/net/objects.py
+++ b/gradefront/net/objects.py
@@ -7,7 +7,7 @@
 import re
 from typing import Any
 
-MAX_OBJECT_CHARACTERS = 1 << 20
+MAX_OBJECT_CHARACTERS = 8_192 * 512  # the backends that are kept; one with every field, indented by 8, takes 400
 MAX_CHARACTERS_WITHOUT_BRACE = 1 << 16  # they are searched again when the next piece has come
 # The next brace that is not within a string. Parsing is tried only at the end of an object, to save CPU time: a list
 # of a hundred backends arrives in dozens of pieces, and a parse after each piece would start from the beginning.
@@ -15,6 +15,10 @@
 WHITESPACE = re.compile(r"\s*")
 
 
+class ObjectTooLongError(ValueError):
+    """An object of more than MAX_OBJECT_CHARACTERS, or with more than MAX_CHARACTERS_WITHOUT_BRACE between two."""
+
+
 class JsonObjectReader:
     """Reads objects from pieces of a stream. A piece costs what its own characters cost, however small it is.
 
@@ -33,13 +37,24 @@
 
     def add(self, data: bytes) -> None:
         """Add a piece of the stream. Raises ValueError on invalid data."""
-        self._text = self._text[self._start :] + self._decode(data)
+        text = self._text[self._start :]
+        self._text = ""  # the only reference is the local one, so that the text grows in place
+        text += self._decode(data)
+        self._text = text
         self._searched = max(0, self._searched - self._start)
         self._start = 0
         self._is_exhausted = False
 
+    @property
+    def pending_characters(self) -> int:
+        """Length of what has been received of the next object."""
+        return len(self._text) - self._start
+
     def next_object(self) -> dict[str, Any] | None:
-        """Return the next object, or None if it is not complete. Raises ValueError on invalid data."""
+        """Return the next object, or None if it is not complete.
+
+        Raises ObjectTooLongError on one that is too long, ValueError on other invalid data.
+        """
         if self._is_exhausted:
             self.had_line_break = False
             return None
@@ -72,9 +87,10 @@
             raise ValueError("JSON object is nested too deeply") from None
 
     def _check_length(self) -> None:
-        too_long = len(self._text) - self._start > MAX_OBJECT_CHARACTERS
-        if too_long or len(self._text) - self._searched > MAX_CHARACTERS_WITHOUT_BRACE:
-            raise ValueError("JSON object exceeds the length limit")
+        if self.pending_characters > MAX_OBJECT_CHARACTERS:
+            raise ObjectTooLongError(f"JSON object of more than {MAX_OBJECT_CHARACTERS} characters")
+        if len(self._text) - self._searched > MAX_CHARACTERS_WITHOUT_BRACE:
+            raise ObjectTooLongError(f"more than {MAX_CHARACTERS_WITHOUT_BRACE} characters without a brace")
 
 
 def _skip_whitespace(text: str, start: int) -> tuple[int, bool]:
