Hand over to a successor that starts while a process stops without one

Cause: a process that was told to end, and accepted clients because its successor had been killed or none had started, did so until its end.

Change: such a process looks for a successor every 20 ms, stops accepting once there is one, and hands its connections over. What connects to the successor is the listener's, not the shutdown's.

--- a/gradefront/listening.py
+++ b/gradefront/listening.py
@@ -13,7 +13,7 @@
 from .net.reactor import Reactor
 from .state.endpoint_handover import KnownEndpoints
 from .state.handover_receiver import HandoverReceiver
-from .state.handover_sockets import find_handover_path
+from .state.handover_sockets import connect_to_newest, find_handover_path
 
 log = logging.getLogger("gradefront")
 
@@ -91,6 +91,16 @@
         """Whether a newer process may accept the clients that this one leaves in the listen queue."""
         return self.inherited is not None and not (self.handover_receiver and self.handover_receiver.is_newest())
 
+    def connect_to_successor(self) -> socket.socket | None:
+        """Connect to the newer process that accepts a handover, and receive none any more; None if there is none."""
+        receiver = self.handover_receiver
+        if not receiver or not receiver.has_successor():
+            return None
+        handover_socket = connect_to_newest(receiver.path)
+        if handover_socket:
+            receiver.close()
+        return handover_socket
+
     def stop(self) -> None:
         """Stop accepting clients."""
         if self.port:
--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import socket
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -14,7 +15,7 @@
 from .net.endpoint_watch import EndpointWatch
 from .net.reactor import Reactor
 from .state.handover_sender import HandoverSender
-from .state.handover_sockets import connect_to_newest, has_listener
+from .state.handover_sockets import has_listener
 from .stop_timeline import StopTimeline
 
 if TYPE_CHECKING:
@@ -23,7 +24,7 @@
 log = logging.getLogger("gradefront")
 
 EMPTY_CHECK_US = 100_000  # interval at which a replaced process checks whether it still has connections
-SUCCESSOR_CHECK_US = 20_000  # after a failed handover; a process that ends closes its sockets one by one
+SUCCESSOR_CHECK_US = 20_000  # for a successor, or its end; a process that ends closes its sockets one by one
 CLOSED_CHECK_US = 8_000  # interval of the checks whether peers have closed, or all answers are sent
 # Steps of the shutdown, by their time after the last answers:
 DROP_HANDSHAKES_US = 50_000  # new TCP handshakes are dropped
@@ -62,32 +63,50 @@
             return
         self.timeline.begin(self.core.clock() - waited_us)
         if not self.listener.is_replaced():
-            # No successor: this process accepts clients to the end, and does not hand its connections over.
+            # No successor: this process accepts clients, and keeps its connections, until there is one.
             self.core.lifecycle.leave(self._close_connections, waited_us=waited_us)
+            self._hand_over_to_late_successor()
             return
         self.listener.stop()  # the successor accepts the clients in the listen queue
-        receiver = self.listener.handover_receiver
-        handover_socket = connect_to_newest(receiver.path) if receiver else None
+        handover_socket = self.listener.connect_to_successor()
         self.listener.close_handover()
         if handover_socket:
-            log.info("handing established connections over to the successor process")
-            HandoverSender(
-                self.core, self.client_factory, self.reactor, handover_socket, self._on_handover_failed
-            ).step()
+            self._hand_over(handover_socket)
         self.core.lifecycle.leave(self._close_connections, at_once=handover_socket is None, waited_us=waited_us)
         self._stop_when_empty()
 
+    def _hand_over(self, handover_socket: socket.socket) -> None:
+        log.info("handing established connections over to the successor process")
+        HandoverSender(self.core, self.client_factory, self.reactor, handover_socket, self._on_handover_failed).step()
+
     def _on_handover_failed(self) -> None:
         self.core.call_later(SUCCESSOR_CHECK_US, self._replace_lost_successor)
 
     def _replace_lost_successor(self) -> None:
-        """Accept clients to the end, as if there had been no successor, if it has ended."""
+        """Accept clients again, as if there had been no successor, if it has ended."""
         receiver = self.listener.handover_receiver
         if self.core.lifecycle.state is not LifecycleState.LEAVING or not receiver or has_listener(receiver.path):
             return
         log.warning("the successor process has ended; accepting clients until this process ends, too")
         self.successor_lost = True
         self.listener.accept_again()
+        self._hand_over_to_late_successor()
+
+    def _hand_over_to_late_successor(self) -> None:
+        """Stop accepting clients, and hand over, once a process has started that replaces this one.
+
+        Prevents requests from being served by the settings of this process, to which no reload is signalled any more.
+        """
+        if self.core.lifecycle.state is not LifecycleState.LEAVING:
+            return
+        handover_socket = self.listener.connect_to_successor()
+        if handover_socket is None:
+            self.core.call_later(SUCCESSOR_CHECK_US, self._hand_over_to_late_successor)
+            return
+        self.successor_lost = False
+        self.listener.stop()
+        self._hand_over(handover_socket)
+        self._stop_when_empty()
 
     def _stop_when_empty(self) -> None:
         """Stop early once no connections are left.
--- a/gradefront/state/handover_receiver.py
+++ b/gradefront/state/handover_receiver.py
@@ -174,7 +174,7 @@
         self.known_endpoints = known_endpoints
         self.senders: list[_SenderConnection] = []
         self.listener: socket.socket | None = None
-        self.inode = 0
+        self.inode = 0  # of the socket name; 0 if it could not be bound
 
     def open(self) -> None:
         """Bind the socket name. If that fails, log it and go on: the relay can serve without a handover."""
@@ -211,6 +211,12 @@
         """
         return self.listener is None or self._holds_name() or not has_listener(self.path)
 
+    def has_successor(self) -> bool:
+        """Return whether a newer process accepts a handover, also after `close`."""
+        if not self.inode or self.listener and self._holds_name():
+            return False
+        return has_listener(self.path)
+
     def _holds_name(self) -> bool:
         """Return whether the socket name is this process's; True also if that cannot be determined."""
         with suppress(OSError):
--- a/tests/test_stop_contains_exceptions.py
+++ b/tests/test_stop_contains_exceptions.py
@@ -76,6 +76,7 @@
     listener = SimpleNamespace(
         port=None,
         is_replaced=lambda: False,
+        connect_to_successor=lambda: None,
         close_handover=step("close_handover"),
         drop_new_handshakes=step("drop_new_handshakes"),
         accept_pending_and_close=step("accept_pending_and_close"),
