Limit the connections for health checks to what clients leave of descriptors

Cause: each backend that was checked kept a connection for 12 to 24 s, which no budget knew of.

The longest unused connections are closed first; a check for which there is none waits for its turn.

--- a/gradefront/net/client_protocol.py
+++ b/gradefront/net/client_protocol.py
@@ -8,6 +8,7 @@
 
 import errno
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
@@ -242,6 +243,7 @@
         self.open_connections = 0
         self.pre_request: dict[ClientProtocol, None] = {}  # connections without a request, oldest first
         self.seen_ids = SeenIds()
+        self.on_descriptor_used: Callable[[], None] = lambda: None  # called when a client's connection is accepted
         self.closing = ConnectionCloser(core, config.sockets // DESCRIPTOR_SHARE)
         self.closing_upstreams = closing_upstreams or ConnectionCloser(core, config.sockets // DESCRIPTOR_SHARE)
 
@@ -286,10 +288,15 @@
         """
         return self.open_connections + len(self.core.connections) + len(self.closing_upstreams)
 
+    def health_check_limit(self) -> int:
+        """Return how many descriptors may be held for health checks."""
+        return self.budget.for_health_checks(self.descriptors_held())
+
     def on_connected(self, client: ClientProtocol) -> None:
         """Register a connection. If descriptors run short, close the connections that need theirs least."""
         self.open_connections += 1
         self.pre_request[client] = None
+        self.on_descriptor_used()
         budget = self.budget
         while self.descriptors_held() > budget.before_request and (
             self.closing.free_descriptor() or self.closing_upstreams.free_descriptor()
--- a/gradefront/net/health_checks.py
+++ b/gradefront/net/health_checks.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable
+from itertools import islice
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory
@@ -85,6 +87,7 @@
 
     def clientConnectionFailed(self, connector: object, reason: object) -> None:  # noqa: ARG002 - Twisted's signature
         """Report that the connection was not established."""
+        self.checker.forget(self)
         self._finish(AttemptResult.CONNECT_FAILED, None)
 
     def on_response(self, line: bytes) -> None:
@@ -104,6 +107,7 @@
                 self.reused = False
                 self._connect()
             else:
+                self.checker.forget(self)
                 self._finish(AttemptResult.RESET, None)
 
     def _on_timeout(self) -> None:
@@ -118,9 +122,11 @@
             if self.timeout:
                 self.timeout.cancel()
             core.on_health_check_result(self.backend, result, took_us, report)
+            self.checker.check_waiting()
 
     def close(self) -> None:
-        """Reset the connection, or cancel it if it is not open yet."""
+        """Reset the connection, or cancel it if it is not open yet, and forget it."""
+        self.checker.forget(self)
         line_protocol, self.line_protocol = self.line_protocol, None
         if line_protocol and line_protocol.transport:
             line_protocol.abort()
@@ -132,7 +138,6 @@
         if self.checker.connections.get(self.backend) is not self:
             return
         if not self.pending_since_us and self.checker.core.clock() - self.last_used_us > IDLE_TIMEOUT_US:
-            del self.checker.connections[self.backend]
             self.close()
         else:
             self.checker.core.call_later(IDLE_TIMEOUT_US, self._close_if_idle)
@@ -141,14 +146,23 @@
 class BackendHealthChecker:
     """Checks the health of all backends (`ports.HealthChecker`).
 
-    `address` returns host and port of a backend, or None if it is not in the endpoint list.
+    `address` returns host and port of a backend, or None if it is not in the endpoint list. `limit` returns how many
+    connections may be open. If all of them are in use, a check waits, and so checks are spread over time.
     """
 
-    def __init__(self, reactor: Reactor, core: RelayCore, address: Callable[[str], tuple[str, int] | None]) -> None:
+    def __init__(
+        self,
+        reactor: Reactor,
+        core: RelayCore,
+        address: Callable[[str], tuple[str, int] | None],
+        limit: Callable[[], int] = lambda: sys.maxsize,
+    ) -> None:
         self.reactor = reactor
         self.core = core
         self.address = address
-        self.connections: dict[str, HealthCheckConnection] = {}
+        self.limit = limit
+        self.connections: dict[str, HealthCheckConnection] = {}  # by backend; the least recently used first
+        self.waiting: dict[str, None] = {}  # backends whose check waits for a descriptor, the longest waiting first
 
     def check_connect(self, backend: str, timeout_us: int) -> None:
         """Check whether a backend accepts a connection within the timeout; report to `core.liveness`."""
@@ -162,14 +176,48 @@
     def check(self, backend: str) -> None:
         """Check a backend and read its load report; the result is passed to `core.on_health_check_result`."""
         address = self.address(backend)
-        connection = self.connections.get(backend)
+        connection = self.connections.pop(backend, None)
         if connection and connection.address != address:
-            del self.connections[backend]
             connection.close()
             connection = None
         if address is None:
             self.core.on_health_check_result(backend, AttemptResult.CONNECT_FAILED, 0, None)
             return
-        if connection is None:
-            connection = self.connections[backend] = HealthCheckConnection(self, backend, address)
-        connection.check()
+        if connection is None and not self._has_room():
+            self.waiting[backend] = None
+            self.core.counters.add("health_checks_waited")
+            return
+        self.connections[backend] = connection or HealthCheckConnection(self, backend, address)
+        self.connections[backend].check()
+
+    def check_waiting(self) -> None:
+        """Make the check that has waited longest, if there is one."""
+        if self.waiting and self._has_room():
+            backend = next(iter(self.waiting))
+            del self.waiting[backend]
+            self.check(backend)
+
+    def close_surplus(self) -> None:
+        """Close connections without a pending check, the least recently used first, until the limit is kept."""
+        surplus = len(self.connections) - self.limit()
+        if surplus <= 0:
+            return
+        idle = (connection for connection in self.connections.values() if not connection.pending_since_us)
+        for connection in list(islice(idle, surplus)):
+            connection.close()
+
+    def forget(self, connection: HealthCheckConnection) -> None:
+        """Forget a connection that holds no descriptor any more."""
+        if self.connections.get(connection.backend) is connection:
+            del self.connections[connection.backend]
+
+    def _has_room(self) -> bool:
+        """Return whether one more connection may be opened, after closing one that is not in use if necessary."""
+        if len(self.connections) < self.limit():
+            return True
+        idle = (connection for connection in self.connections.values() if not connection.pending_since_us)
+        least_recently_used = next(idle, None)
+        if least_recently_used is None:
+            return False
+        least_recently_used.close()
+        return True
--- a/gradefront/startup.py
+++ b/gradefront/startup.py
@@ -54,13 +54,12 @@
 def build_endpoint_watch(
     config: Config, core: RelayCore, reactor: Reactor, clock_stepped: Callable[[], bool]
 ) -> tuple[EndpointList, EndpointWatch]:
-    """Build the endpoint list, the watch that keeps it current, and the health checker for its addresses.
+    """Build the endpoint list, and the watch that keeps it current.
 
     `clock_stepped` returns whether the wall clock has been stepped since the start.
     """
     endpoint_list = EndpointList(config, core, clock_stepped)
     core.endpoint_watcher = endpoint_watch = EndpointWatch(reactor, core, endpoint_list, config.discovery)
-    core.health_checker = BackendHealthChecker(reactor, core, endpoint_list.address)
     return endpoint_list, endpoint_watch
 
 
@@ -86,10 +85,18 @@
 def build_client_factory(
     config: Config, core: RelayCore, endpoint_list: EndpointList, reactor: Reactor
 ) -> ClientProtocolFactory:
-    """Build the protocol factory for clients, with the connector that opens connections to backends."""
+    """Build the protocol factory for clients, the connector to backends, and the health checker.
+
+    They share a budget of file descriptors.
+    """
     closing_upstreams = ConnectionCloser(core, config.sockets // DESCRIPTOR_SHARE)
     connector = LineBackendConnector(reactor, endpoint_list.address, closing_upstreams)
-    return ClientProtocolFactory(config, core, connector, closing_upstreams)
+    factory = ClientProtocolFactory(config, core, connector, closing_upstreams)
+    core.health_checker = checker = BackendHealthChecker(
+        reactor, core, endpoint_list.address, factory.health_check_limit
+    )
+    factory.on_descriptor_used = checker.close_surplus
+    return factory
 
 
 def build_quic_front(config: Config, quic: QuicConfig, core: RelayCore, reactor: Reactor) -> QuicFront:
