Hold by a test that an endless answer of a backend is cut

Change: none of the program. An answer of over 4,096 bytes without an end, or what follows BUSY, has its connection reset at the first read, and the request goes to another backend. The test was made after that.

--- a/tests/test_busy_connections.py
+++ b/tests/test_busy_connections.py
@@ -21,6 +21,7 @@
 from .test_line_cost import HEAD
 
 LINES = 10_000
+ENDLESS_ANSWER_BYTES = 65_536
 
 
 def steps_until(loop: Loop, done: Callable[[], Any]) -> int:
@@ -136,3 +137,32 @@
 
     cast(Any, loop.core).on_endpoint_list = recorded
     return updates
+
+
+@pytest.mark.parametrize("first", [b"", b"BUSY\r\n"])
+def test_an_endless_answer_is_cut_and_the_request_goes_to_another_backend(tmp_path: Path, first: bytes) -> None:
+    """Guards against work and memory that grow with what a backend sends after its answer is decided."""
+    backends = [Backend(), Backend()]
+    loop = Loop(tmp_path, backends)
+    client = loop.client()
+    loop.open(client)
+    loop.until(lambda: any(backend.has_pending for backend in backends))
+    endless = next(backend for backend in backends if backend.has_pending)
+    peer = endless.accept()
+    loop.until(lambda: b"\r\n" in peer.read())
+    peer.sock.setblocking(False)
+    sent = peer.sock.send(first)
+    with pytest.raises(OSError) as closed:  # noqa: PT012 - the reset comes in one of many sends
+        while sent < 100 * ENDLESS_ANSWER_BYTES:
+            try:
+                sent += peer.sock.send(b"x" * ENDLESS_ANSWER_BYTES)
+            except BlockingIOError:
+                loop.step()
+    assert closed.type in (BrokenPipeError, ConnectionResetError)
+    other = next(backend for backend in backends if backend is not endless)
+    loop.until(lambda: loop.wait(4_000) or other.has_pending)
+    served = other.accept()
+    loop.until(lambda: b"\r\n" in served.read())
+    served.send_line("UP r-2")
+    loop.until(lambda: client.read() == b"UP r-2\r\n")
+    assert not loop.core.counters.counts["exceptions"]
