Let a relay of the fleet be replaced: its port is opened once it is free

Cause: the new process of a replacement ended at its start, as the old one held the fleet's UDP port.

Change: a process on an inherited listener serves without the fleet until the port is free, trying ten times a second. The old one closes it as it hands over, and doesn't tell the fleet that it leaves. After 6 s an error says that another program holds the port.

--- a/gradefront/net/fleet_port.py
+++ b/gradefront/net/fleet_port.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 from collections.abc import Iterable
 from random import SystemRandom
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import DatagramProtocol
 
 from gradefront.config import ConfigError, parse_address
@@ -16,9 +18,13 @@
 from gradefront.fleet.swim import TICKS_PER_PERIOD, Swim
 from gradefront.fleet.wire import DatagramRejectedError, Message, Sealer
 
+from .reactor import Reactor
+
 log = logging.getLogger("gradefront.fleet")
 
 LOG_INTERVAL_US = 1_000_000  # interval of the rate limits on log lines
+RETRY_US = 100_000  # between two tries to open a port that another process holds
+PREDECESSOR_TIMEOUT_US = 6_000_000  # a process that is replaced has ended by then
 MAX_STATE_LOGS = 20  # log lines on state changes per interval; further changes are only counted
 
 
@@ -36,6 +42,36 @@
         self.swim: Swim | None = None
         self.transport: Any
 
+    def open(self, reactor: Reactor, is_replacement: bool) -> None:
+        """Open the port.
+
+        If another process holds it, raise CannotListenError, or, if `is_replacement`, try again until it is free.
+        """
+        host, port = self.config.listen
+        try:
+            reactor.listenUDP(port, self, host)
+        except CannotListenError as error:
+            if not is_replacement or error.socketError.errno != errno.EADDRINUSE:
+                raise
+            log.info("fleet: %s:%d is in use, as by the process that is replaced; waiting for it", host, port)
+            self.core.call_later(RETRY_US, lambda: self._try_again(reactor, self.core.clock()))
+
+    def _try_again(self, reactor: Reactor, waiting_since_us: int, is_logged: bool = False) -> None:
+        host, port = self.config.listen
+        try:
+            reactor.listenUDP(port, self, host)
+        except CannotListenError as error:
+            is_late = self.core.clock() - waiting_since_us > PREDECESSOR_TIMEOUT_US
+            if is_late and not is_logged:
+                log.error("fleet: this relay takes no part, as another program holds its port: %s", error)
+            self.core.call_later(RETRY_US, lambda: self._try_again(reactor, waiting_since_us, is_logged or is_late))
+
+    def close(self) -> None:
+        """Close the port, and leave the relay's name to the process that replaces this one."""
+        if self.swim and self.transport:
+            self.swim = None
+            self.transport.stopListening()
+
     def startProtocol(self) -> None:
         """Start the membership protocol; called when the socket is bound."""
         assert self.transport
--- a/gradefront/service.py
+++ b/gradefront/service.py
@@ -76,7 +76,7 @@
         if inherited:
             core.lifecycle.on_ready = self.client_listener.listen_on_inherited
         self.quic = startup.build_quic_front(config, quic, core, reactor) if quic else None
-        self.fleet = startup.start_fleet(fleet, core, reactor) if fleet else None
+        self.fleet = startup.start_fleet(fleet, core, reactor, inherited is not None) if fleet else None
         self.admin_server = startup.start_admin_server(config, core, reactor)
         if not inherited:
             self.client_listener.listen()
--- a/gradefront/shutdown.py
+++ b/gradefront/shutdown.py
@@ -76,6 +76,8 @@
         self._stop_when_empty()
 
     def _hand_over(self, handover_socket: socket.socket) -> None:
+        if self.fleet:
+            self._run_step(self.fleet.close)
         log.info("handing established connections over to the successor process")
         HandoverSender(self.core, self.client_factory, self.reactor, handover_socket, self._on_handover_failed).step()
 
--- a/gradefront/startup.py
+++ b/gradefront/startup.py
@@ -106,13 +106,17 @@
     return QuicFront(config, quic, core, reactor)
 
 
-def start_fleet(fleet: FleetConfig, core: RelayCore, reactor: Reactor) -> FleetPort:
-    """Open the UDP port that gossips with other relays. It is imported only if enabled. Raises ConfigError."""
+def start_fleet(fleet: FleetConfig, core: RelayCore, reactor: Reactor, is_replacement: bool) -> FleetPort:
+    """Open the UDP port that gossips with other relays. It is imported only if enabled.
+
+    `is_replacement`: the process that this one replaces may still hold the port, so it is opened once it is free.
+    Raises ConfigError if it cannot be opened otherwise.
+    """
     from .net.fleet_port import FleetPort
 
     port = FleetPort(fleet, core)
     try:
-        reactor.listenUDP(fleet.listen[1], port, fleet.listen[0])
+        port.open(reactor, is_replacement)
     except CannotListenError as error:
         raise ConfigError(f"{fleet_file().name}: listen: {error}") from None
     return port
