Bound the looks at the watch of all attempts together; add the play that found it

Cause: an attempt reads from the watch for up to 20 ms first. Sixty clients that come at once beside a discovery that sends without end held the event loop for over a second.

--- a/gradefront/net/endpoint_watch.py
+++ b/gradefront/net/endpoint_watch.py
@@ -13,6 +13,10 @@
 log = logging.getLogger("gradefront.endpoint_watch")
 
 RESPONSE_TIMEOUT_US = 3_500_000  # longer than the 3 s after which discovery itself fails a waiting call
+# A look at the watch before an attempt that took longer than FREE_LOOK_US is followed by a pause of PAUSE_PER_LOOK
+# times its duration, so that many attempts beside a watch that sends without end don't hold up the event loop.
+FREE_LOOK_US = 1_000
+PAUSE_PER_LOOK = 4
 MIN_DRAIN_GRACE_US = 150_000  # lower bound for the setting `drain_grace_us`, which may be 0
 
 
@@ -34,6 +38,7 @@
         self.call: EndpointWatchCall | None = None
         self.last_call_us = 0  # when the last call began
         self.failures = 0  # consecutive calls without an update
+        self.next_look_us = 0  # `read_pending` does nothing before
 
     @property
     def pushed(self) -> bool:
@@ -75,9 +80,15 @@
 
     def read_pending(self) -> None:
         """Apply unread updates of the watch, so that a send considers a drain that was announced just before."""
+        began_us = self.core.clock()
+        if began_us < self.next_look_us:
+            return
         call = self.call
         if call and not call.ended and call.line_protocol and call.line_protocol.connected:
             call.line_protocol.read_available()
+            took_us = self.core.clock() - began_us
+            if took_us > FREE_LOOK_US:
+                self.next_look_us = began_us + took_us * (1 + PAUSE_PER_LOOK)
 
     def change_address(self, address: tuple[str, int]) -> None:
         """Watch discovery at a new address.
--- a/lab/hostile.py
+++ b/lab/hostile.py
@@ -5,6 +5,9 @@
 usual client's line and to a new client's request while calm, during the play and in the 5 s after it, the process's
 memory before the play, at its peak and after it, its CPU share during the play, and how many requests were sent on
 over 0.1 s after their client had closed, or were sent to backends twice.
+
+`python -m lab.hostile FIRST COUNT [--tree TREE]` plays COUNT seeded rounds of `lab.hostile_rounds` and prints a line
+for each; the exit status is 1 if one broke a rule.
 """
 
 from __future__ import annotations
@@ -13,7 +16,6 @@
 import asyncio
 import json
 import logging
-import os
 import random
 import socket
 import sys
@@ -27,6 +29,8 @@
 from typing import Any
 
 from .hostile_peers import HOST, KINDS
+from .hostile_rounds import play_all
+from .processes import cpu_s, memory_mb, start_peers
 from .quic import QuicBackend, file_of
 from .stand_ins import CHECKOUT, Discovery, LineDevice, Program, StandInBackend, program, settings, soon
 from .waiting import within
@@ -112,32 +116,6 @@
             await asyncio.sleep(random.uniform(0.5, 1.5) * REQUEST_INTERVAL_S)
 
 
-def memory_mb(pid: int, name: str) -> float:
-    """Return a figure of a process's status, VmRSS or VmHWM (the peak), in MB."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith(name + ":"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
-def cpu_s(pid: int) -> float:
-    """Return the CPU seconds that a process has used."""
-    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
-
-
-async def start_peers(
-    kind: str, where: object, seconds: float, endpoint_list: dict[str, Any]
-) -> asyncio.subprocess.Process:
-    """Start hostile peers, which wait for a line."""
-    return await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "lab.hostile_peers", kind, str(where), str(seconds)),
-        cwd=CHECKOUT,
-        env=os.environ | {"ENDPOINT_LIST": json.dumps(endpoint_list)},
-        stdin=asyncio.subprocess.PIPE,
-        stdout=asyncio.subprocess.PIPE,
-    )
-
-
 @asynccontextmanager
 async def relay(
     kind: str, tree: Path, seconds: float, came_s: dict[str, list[float]]
@@ -242,11 +220,29 @@
         print(await play(kind, tree, seconds), flush=True)
 
 
-if __name__ == "__main__":
+def play_seeds(first: int, count: int, tree: Path) -> int:
+    """Play the rounds of seeds from `first` on. Return the exit status."""
+    worlds = asyncio.run(play_all(range(first, first + count), (tree,)))
+    kept = sum(not world.broken for world in worlds)
+    print(f"{kept} of {count} kept")
+    return int(kept < count)
+
+
+def run() -> int:
+    """Run the command line. Return the exit status."""
     parser = argparse.ArgumentParser(prog="python -m lab.hostile", description=__doc__)
-    parser.add_argument("kinds", nargs="*", metavar="KIND")
+    parser.add_argument("played", nargs="*", metavar="KIND, or FIRST COUNT")
     parser.add_argument("--tree", type=Path, default=CHECKOUT)
     parser.add_argument("--seconds", type=float, default=6.0)
     given = parser.parse_args()
     logging.getLogger("asyncio").setLevel(logging.ERROR)
-    asyncio.run(main(given.kinds or list(KINDS), given.tree.resolve(), given.seconds))
+    tree = given.tree.resolve()
+    if given.played and all(word.isdigit() for word in given.played):
+        first, count = map(int, given.played)
+        return play_seeds(first, count, tree)
+    asyncio.run(main(given.played or list(KINDS), tree, given.seconds))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- a/lab/hostile_peers.py
+++ b/lab/hostile_peers.py
@@ -12,6 +12,7 @@
 import json
 import os
 import socket
+import struct
 import sys
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
@@ -39,6 +40,7 @@
 CRUMBS_PER_PACKET = 190
 FIRST_ID = int.from_bytes(os.urandom(7)) << 8
 IDS = count(FIRST_ID)
+ACKNOWLEDGED = struct.Struct("=120xQ")  # start of Linux' `struct tcp_info`, up to `tcpi_bytes_acked`
 
 
 def request(more: str = "") -> bytes:
@@ -49,7 +51,7 @@
 class Until:
     """The end of a play, and what was made until then.
 
-    `closed_s`: when clients closed, by connection id, on the monotonic clock.
+    `octets`: sent on connections. `closed_s`: when clients closed, by connection id, on the monotonic clock.
     """
 
     def __init__(self, seconds: float) -> None:
@@ -57,6 +59,7 @@
         self.begun = asyncio.Event()
         self.end_s = 0.0
         self.made = 0
+        self.octets = 0
         self.closed_s: dict[str, float] = {}
 
     def begin(self) -> None:
@@ -98,9 +101,20 @@
         except (OSError, asyncio.IncompleteReadError):
             await until.pause(RETRY_S)
         finally:
+            until.octets += acknowledged_octets(writer)
             writer.close()
 
 
+def acknowledged_octets(writer: asyncio.StreamWriter) -> int:
+    """Return how many octets the peer's kernel has received; 0 if the connection is closed here."""
+    try:
+        info = writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, ACKNOWLEDGED.size)
+        (octets,) = ACKNOWLEDGED.unpack(info)
+    except (OSError, struct.error):
+        return 0
+    return int(octets)
+
+
 def crowd(talk: Talk, size: int = CROWD) -> Play:
     """Return a play in which so many peers connect again and again."""
 
@@ -194,18 +208,25 @@
 
     async def play(target: str, until: Until) -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            with suppress(OSError, asyncio.IncompleteReadError):
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(HEAD)
-                while not until.begun.is_set():
-                    usual = os.environ["ENDPOINT_LIST"].encode() + b"\n"
-                    writer.write(b"%x\r\n%s\r\n" % (len(usual), usual))
-                    await asyncio.sleep(HEARTBEAT_S)
-                async for data in body(until):
-                    writer.write(b"%x\r\n%s\r\n" % (len(data), data))
-                    await writer.drain()
-                    until.made += 1
-            writer.close()
+            try:
+                # CancelledError occurs when the event loop closes.
+                with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                    await answer(reader, writer)
+            finally:
+                writer.close()
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD)
+            while not until.begun.is_set():
+                usual = os.environ["ENDPOINT_LIST"].encode() + b"\n"
+                writer.write(b"%x\r\n%s\r\n" % (len(usual), usual))
+                await asyncio.sleep(HEARTBEAT_S)
+            async for data in body(until):
+                writer.write(b"%x\r\n%s\r\n" % (len(data), data))
+                await writer.drain()
+                until.made += 1
+                until.octets += len(data)
 
         server = await asyncio.start_server(serve, HOST, int(target))
         await until.begun.wait()
@@ -295,7 +316,9 @@
                 part = until.made // ids if ids else 0
                 data = payload(part * 2 * CRUMBS_PER_PACKET % HELLO_BYTES)
                 with suppress(OSError):
-                    sock.send(seal_initial(V1, first_id, first_id, b"hostile!", data, True, number=part % 60_000))
+                    until.octets += sock.send(
+                        seal_initial(V1, first_id, first_id, b"hostile!", data, True, number=part % 60_000)
+                    )
                 until.made += 1
                 await asyncio.sleep(interval_s)
 
@@ -352,7 +375,7 @@
     await asyncio.to_thread(sys.stdin.readline)
     until.begin()
     await (discovery_play or KINDS[kind](target, until))
-    print(json.dumps({"made": until.made, "closed_s": until.closed_s}))
+    print(json.dumps({"made": until.made, "octets": until.octets, "closed_s": until.closed_s}))
 
 
 if __name__ == "__main__":
--- a/lab/replacement_clients.py
+++ b/lab/replacement_clients.py
@@ -89,7 +89,7 @@
     async def _talk(self, device: LineDevice) -> None:
         """Send lines and check their replies until the connection ends."""
         world = self.world
-        backend = world.backends.get(self.backend_name)
+        backend = world.find_backend(self.backend_name)
         number = 0
         while not world.is_ending:
             if self.silent_until_s > world.now():
@@ -117,7 +117,11 @@
                 await asyncio.sleep(self.world.random.uniform(0, 0.2))
                 line = line[4:]
             device.write_line(line)
-        return await self._line(device, REPLY_S)
+        asked_s = self.world.now()
+        reply = await self._line(device, REPLY_S)
+        if reply and reply not in LAST_LINES:
+            self.world.on_reply(f"{device.id:016x}", self.world.now() - asked_s)
+        return reply
 
     def _check_end(self, answer: str, expected: str, backend_is_dead: bool) -> None:
         if self._may_be_cut() or (backend_is_dead and answer == ""):
--- a/lab/replacement_world.py
+++ b/lab/replacement_world.py
@@ -14,7 +14,7 @@
 from itertools import count
 from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Any, Self
 
 from .stand_ins import Discovery, Program, StandInBackend, program, settings
 from .waiting import within
@@ -57,7 +57,7 @@
 
     def _answer(self, line: str) -> str | None:
         request_id = line.split()[1]
-        self.world.executions[request_id] += 1
+        self.world.on_execution(request_id)
         if self.drained_s is not None and self.world.now() - self.drained_s > DRAIN_GRACE_S:
             self.world.break_rule(f"request {request_id} came to {self.name} after its drain")
         return None if self.hangs else f"UP {self.name}"
@@ -71,6 +71,8 @@
 class World:
     """The processes, backends and discovery of one round, as an async context manager."""
 
+    backend_count = BACKENDS
+
     def __init__(self, seed: int, folder: Path, trees: Sequence[Path]) -> None:
         self.seed = seed
         self.folder = folder
@@ -107,10 +109,25 @@
         self.note(f"BROKEN {rule}")
         self.broken.append(f"{rule}, after {self.now() - self.began_s:.1f} s")
 
-    async def __aenter__(self) -> World:
+    def on_execution(self, request_id: str) -> None:
+        """Record that a backend has received a request."""
+        self.executions[request_id] += 1
+
+    def find_backend(self, name: str) -> Backend | None:
+        """Return the backend of a name."""
+        return self.backends.get(name)
+
+    def on_reply(self, request_id: str, seconds: float) -> None:
+        """Take note of how long a standing client waited for the reply to a line."""
+
+    def program_options(self) -> dict[str, Any]:
+        """Return further options of `program` for each process."""
+        return {}
+
+    async def __aenter__(self) -> Self:
         self.listener = self.stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=512))
         self.port = int(self.listener.getsockname()[1])
-        for number in range(BACKENDS):
+        for number in range(self.backend_count):
             await self._open_backend(f"box-{number}")
         self.known = json.loads(json.dumps(self.discovery.list()))  # as the configuration has it at the first start
         self.current = await self._start()
@@ -139,6 +156,7 @@
                 shared=self.folder,
                 known=self.known,
                 tree=self.trees[number % len(self.trees)],
+                **self.program_options(),
             )
         )
         self.programs.append(relay)
