--- a/gradefront/quic/maintenance.py
+++ b/gradefront/quic/maintenance.py
@@ -54,6 +54,7 @@
             while table and next(iter(table.values()))[1] <= now:
                 table.popitem(last=False)
         self.executed.expire(now)
+        self.pool.close_idle(now)
         for owner in self._overdue_unconfirmed(now):
             self._end_unconfirmed(owner)
         self._end_gone_backends()
--- a/gradefront/quic/paths.py
+++ b/gradefront/quic/paths.py
@@ -200,7 +200,7 @@
     ) -> None:
         self.hub = hub
         self.host = host
-        self.max_ports = max_ports
+        self.max_ports = self.configured_ports = max_ports
         self.paths_per_slot = paths_per_slot
         self.on_path_datagram = on_backend_datagram
         self.on_refused = on_refused
@@ -210,6 +210,8 @@
         #: By backend: released ports and the time of release.
         self.released: dict[Address, deque[tuple[int, int]]] = {}
         self.full_until_us: dict[Address, int] = {}  # by backend: no search for a free slot until then
+        self.open_paths = 0
+        self.released_us = 0  # when a path was closed last
 
     def count_unknown_sender(self) -> None:
         """Count a datagram whose sender is no backend, or whose path is closed."""
@@ -250,6 +252,7 @@
                 return False
             self.count("quic_paths_shared")
         path.port, path.sendto = port, port.sendto
+        self.open_paths += 1
         return True
 
     def _take_released(
@@ -321,8 +324,22 @@
         port, path.port, path.sendto = path.port, None, None
         if port is None:
             return
+        self.open_paths -= 1
+        self.released_us = now_us
         slot = port.slots.get(path.backend_address)
         self.full_until_us.pop(path.backend_address, None)
         if slot and slot.remove(path):
             del port.slots[path.backend_address]
             self.released.setdefault(path.backend_address, deque()).append((port.index, now_us))
+
+    def close_idle(self, now_us: int) -> None:
+        """Close all ports once no path has been open for QUARANTINE_US, so that a storm keeps no descriptors."""
+        if self.open_paths or not self.ports or now_us - self.released_us < QUARANTINE_US:
+            return
+        for port in self.ports:
+            port.close()
+        self.ports.clear()
+        self.next_unused.clear()
+        self.released.clear()
+        self.full_until_us.clear()
+        self.max_ports = self.configured_ports
