End the last accept on a shared listener after 0.05 s

Cause: a leaving process accepts and rejects what is in the listener's queue, up to 4,096 clients in one call. That this was the cause is read, not measured.

Change: on a shared listener it ends after 0.05 s; the rest stays in the queue for the next process.

Measured: the listener's test fails before, with 64 batches.

--- a/gradefront/net/transport.py
+++ b/gradefront/net/transport.py
@@ -11,6 +11,7 @@
 import logging
 import select
 import socket
+import time
 from collections.abc import Callable
 from enum import Enum
 from typing import Any, cast
@@ -26,6 +27,7 @@
 MAX_READS = 16  # of at most 64 KiB each in one `read_available`, because a peer may send without end
 MAX_ACCEPTS = 64  # in one event loop iteration
 MAX_LAST_ACCEPTS = 64  # batches of MAX_ACCEPTS before a listener closes
+MAX_SHARED_ACCEPT_S = 0.05  # for these batches on a listener that other processes share
 ACCEPT_PAUSE_S = 0.01  # after accept has failed for lack of a resource
 
 #: Errors of recv(2) and send(2) on an intact connection; the same call may succeed a moment later.
@@ -213,11 +215,16 @@
             log.info("cannot drop new TCP handshakes: socket filters are not supported on this system")
 
     def accept_pending_and_close(self) -> None:
-        """Accept all queued connections and close in the same call, as more may connect before the next iteration."""
+        """Accept the queued connections and close in the same call, as more may connect before the next iteration.
+
+        New handshakes on a shared listener are not dropped, so clients that come again at once could fill its queue
+        without end: MAX_SHARED_ACCEPT_S after the call's start the rest is left in it, for the next process.
+        """
         if not self.connected:
             return
+        end_s = time.monotonic() + MAX_SHARED_ACCEPT_S
         for _ in range(MAX_LAST_ACCEPTS):  # each failure for lack of a descriptor frees one
-            if self.accept_pending(MAX_ACCEPTS):
+            if self.accept_pending(MAX_ACCEPTS) or self.is_shared and time.monotonic() > end_s:
                 break
         cast(Any, self).stopReading()
         self.connectionLost(cast(Any, Failure)(CONNECTION_DONE))
--- a/lab/hostile_world.py
+++ b/lab/hostile_world.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import re
-import signal
 import socket
 from collections import Counter, defaultdict
 from collections.abc import Sequence
@@ -172,12 +171,7 @@
     def _watch_at(self, port: int) -> int:
         """Have the current process watch discovery at a port. Return its process id."""
         relay = self.current
-        file = self.homes[relay.process.pid] / "config.json"
-        document = json.loads(file.read_text())
-        document["discovery"] = f"{HOST}:{port}"
-        file.write_text(json.dumps(document))
-        with suppress(ProcessLookupError):
-            relay.process.send_signal(signal.SIGHUP)
+        self.reload(relay, discovery=f"{HOST}:{port}")
         return relay.process.pid
 
     # ---- the oracle
--- a/lab/replacement_world.py
+++ b/lab/replacement_world.py
@@ -314,13 +314,18 @@
             return
         self.is_unsafe = not self.is_unsafe
         self.effect_changed_s = self.now()
+        self.reload(relay, settings=self._settings())
+        self.note(f"SIGHUP to process {relay.process.pid}, classes {'unsafe' if self.is_unsafe else 'safe'}")
+
+    def reload(self, relay: Program, **changed: object) -> None:
+        """Change fields of a process's configuration, and send it SIGHUP."""
         file = self.homes[relay.process.pid] / "config.json"
         document = json.loads(file.read_text())
-        document["settings"] = self._settings()
-        file.write_text(json.dumps(document))
+        written = file.with_suffix(".new")
+        written.write_text(json.dumps(document | changed))
+        written.replace(file)  # the process may be reading it, for an earlier SIGHUP
         with suppress(ProcessLookupError):
             relay.process.send_signal(signal.SIGHUP)
-        self.note(f"SIGHUP to process {relay.process.pid}, classes {'unsafe' if self.is_unsafe else 'safe'}")
 
     async def end_troubles(self) -> None:
         """Let everything serve, so that the clients' last checks can be answered."""
--- a/tests/test_listener_end.py
+++ b/tests/test_listener_end.py
@@ -6,6 +6,7 @@
 import errno
 import select
 import socket
+import time
 from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
@@ -14,6 +15,7 @@
 import pytest
 
 from gradefront.core.lifecycle_state import LifecycleState
+from gradefront.net.transport import MAX_LAST_ACCEPTS, MAX_SHARED_ACCEPT_S
 from lab.stand_ins import Discovery, LineDevice, Program, program, settings, soon
 
 from .faults import faulty
@@ -175,3 +177,22 @@
         assert outcomes["BUSY"] > 20 and not outcomes["cut off"], outcomes
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(("is_shared", "most"), [(True, 12), (False, MAX_LAST_ACCEPTS)])
+def test_last_accept_on_a_shared_listener_ends_although_clients_come_again_without_end(
+    tmp_path: Path, is_shared: bool, most: int
+) -> None:
+    """Guards against a process that is killed while it accepts clients for which the next process is there."""
+    port = Loop(tmp_path, [Backend()]).relay.port
+    batches = list[int]()
+
+    def accept_pending(limit: int) -> bool:
+        batches.append(limit)
+        time.sleep(MAX_SHARED_ACCEPT_S / 10)
+        return False
+
+    port.is_shared, port.accept_pending = is_shared, accept_pending
+    port.accept_pending_and_close()
+    assert 0 < len(batches) <= most and not port.connected
+    assert is_shared or len(batches) == most
