Bend a token's and a datagram's last bit, not set its last byte to "x"

Cause: one in 256 tokens or packets ends with "x" already, so that what should be corrupted was sound.

Change: the last bit is flipped.

--- a/lab/conform/cases_backends.py
+++ b/lab/conform/cases_backends.py
@@ -14,6 +14,7 @@
     Place,
     long_header,
     suite,
+    with_last_bit_flipped,
 )
 from .raw_backend import FORMS, SERVER_HELLO, close_with_error, refuse, serve, stay_silent
 
@@ -115,7 +116,7 @@
             datagram = seal_initial(
                 V1, b"other-id" if defect != "bent" else packet.to_id, packet.from_id, backend.new_id(), SERVER_HELLO
             )
-            backend.wire.sendto(datagram if defect != "bent" else datagram[:-1] + b"x", addr)
+            backend.wire.sendto(datagram if defect != "bent" else with_last_bit_flipped(datagram), addr)
 
     place.set_handler(answer_unsoundly)
     client = await place.client()
--- a/lab/conform/cases_packets.py
+++ b/lab/conform/cases_packets.py
@@ -16,6 +16,7 @@
     Place,
     long_header,
     suite,
+    with_last_bit_flipped,
 )
 from .raw_backend import PLAIN, SERVER_HELLO, serve, stay_silent
 
@@ -232,7 +233,7 @@
 
 #: Builders of Initials that must not be forwarded, by the label in the case's name; each is called with the client.
 UNSOUND_INITIALS = {
-    "the tag bent": lambda c: c.initial()[:-1] + b"x",
+    "the tag bent": lambda c: with_last_bit_flipped(c.initial()),
     "the first octet bent": lambda c: b"\xc3" + c.initial()[1:],
     "keys of another id": lambda c: c.initial(keys_of=b"other-id"),
     "keys of the server's side": lambda c: seal_initial(
--- a/lab/conform/quic.py
+++ b/lab/conform/quic.py
@@ -128,6 +128,11 @@
             await asyncio.sleep(0)
 
 
+def with_last_bit_flipped(datagram: bytes) -> bytes:
+    """Return a datagram that differs in its last bit, whatever it ends with."""
+    return datagram[:-1] + bytes([datagram[-1] ^ 1])
+
+
 def long_header(version: int, to_id: bytes, from_id: bytes, rest: bytes = b"", first: int = 0xC0) -> bytes:
     """Return a datagram with a long header of any version, followed by `rest`."""
     return b"".join(
--- a/tests/test_quic_tokens.py
+++ b/tests/test_quic_tokens.py
@@ -65,7 +65,7 @@
 def test_backend_tokens_are_ignored_and_shared_ones_prove_the_address_at_any_port() -> None:
     shared = MINT.make_new(CLIENT, NOW, 86_400_000_000)
     assert MINT.read(shared, (CLIENT[0], 9), b"any-id..", NOW).verdict is TokenVerdict.PROVEN
-    for token in (shared[:-1] + b"x", b"\x84" + b"a box's own, of any length" * 3):
+    for token in (shared[:-1] + bytes([shared[-1] ^ 1]), b"\x84" + b"a box's own, of any length" * 3):
         assert MINT.read(token, CLIENT, b"any-id..", NOW).verdict is TokenVerdict.NONE, (
             "a token that only a backend can validate must not be rejected"
         )
