Let the plays signal no process that has no signal handlers yet

Change: the play signals a process once it has logged a line, which is after its handlers are installed. A process that has ended by itself is a broken rule, where it was an exception that hid the others.

Measured: the new test fails before; tests/test_replacement_play.py passes.

--- a/lab/replacement_world.py
+++ b/lab/replacement_world.py
@@ -226,6 +226,11 @@
 
     async def _end(self, relay: Program) -> None:
         """End a process with SIGTERM, and check that it has ended before the platform's SIGKILL."""
+        if relay.process.returncode is not None:
+            self.break_rule(
+                f"process {relay.process.pid} had ended by itself, with status {relay.process.returncode}"
+            )
+            return
         self.note(f"SIGTERM to process {relay.process.pid}")
         signalled_s = self.now()
         relay.process.send_signal(signal.SIGTERM)
@@ -310,15 +315,22 @@
     async def reload_with_other_effect(self) -> None:
         """Send SIGHUP to the current process with the other effect of all classes."""
         relay = self.current
-        if relay.process.returncode is not None:
+        if not self.has_handlers(relay):
             return
         self.is_unsafe = not self.is_unsafe
         self.effect_changed_s = self.now()
         self.reload(relay, settings=self._settings())
         self.note(f"SIGHUP to process {relay.process.pid}, classes {'unsafe' if self.is_unsafe else 'safe'}")
 
+    @staticmethod
+    def has_handlers(relay: Program) -> bool:
+        """Return whether a process handles signals. One that has just been started would be ended by SIGHUP."""
+        return relay.process.returncode is None and bool(relay.log)
+
     def reload(self, relay: Program, **changed: object) -> None:
-        """Change fields of a process's configuration, and send it SIGHUP."""
+        """Change fields of a process's configuration, and send it SIGHUP, if it handles signals by now."""
+        if not self.has_handlers(relay):
+            return
         file = self.homes[relay.process.pid] / "config.json"
         document = json.loads(file.read_text())
         written = file.with_suffix(".new")
