Leave the fleet's port to the successor also while a process waits for it

Cause: a process that is replaced while it waits for the fleet's port went on trying, and could hold the port from its successor. Found by reading the change again.

Change: once closed, it tries no more.

Measured: the test of a port in use fails before, with two opened.

--- a/gradefront/net/fleet_port.py
+++ b/gradefront/net/fleet_port.py
@@ -39,6 +39,7 @@
         self.sealer = Sealer(config.name, config.keys, config.sealing_key_id)
         self.rejection_logged_us = self.state_logs_since_us = self.state_logs = 0
         self.yield_logged = False
+        self.is_closed = False
         self.swim: Swim | None = None
         self.transport: Any
 
@@ -57,6 +58,8 @@
             self.core.call_later(RETRY_US, lambda: self._try_again(reactor, self.core.clock()))
 
     def _try_again(self, reactor: Reactor, waiting_since_us: int, is_logged: bool = False) -> None:
+        if self.is_closed:
+            return
         host, port = self.config.listen
         try:
             reactor.listenUDP(port, self, host)
@@ -67,7 +70,8 @@
             self.core.call_later(RETRY_US, lambda: self._try_again(reactor, waiting_since_us, is_logged or is_late))
 
     def close(self) -> None:
-        """Close the port, and leave the relay's name to the process that replaces this one."""
+        """Close the port, and leave it and the relay's name to the process that replaces this one."""
+        self.is_closed = True
         if self.swim and self.transport:
             self.swim = None
             self.transport.stopListening()
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -115,6 +115,9 @@
     FleetPort(config, bench.core).open(cast(Any, reactor), is_replacement=True)
     bench.wait(3 * PREDECESSOR_TIMEOUT_US)
     assert caplog.text.count("another program holds its port") == 1 and "127.0.0.1:7946" in caplog.text
+    replaced = FleetPort(config, bench.core)
+    replaced.open(cast(Any, reactor), is_replacement=True)
+    replaced.close()  # it is replaced itself while it waits
     reactor.is_free = True
     bench.wait(2 * RETRY_US)
     assert reactor.opened == 1
